--- /dev/null
+++ b/api/config/config.go
@@ -0,0 +1,136 @@
+// Package config holds the operators' configuration document.
+package config
+
+import "time"
+
+// Key is the store's key of the configuration document.
+const Key = "cyclamenstream/config"
+
+// Limits on the document.
+const (
+	// MaxHistory is the number of change identifiers that the document keeps. A lost answer can be resolved while
+	// fewer than this many changes came after it: 256 changes are about 8 minutes of 45,000 a day.
+	MaxHistory = 256
+	// MaxLeafTimeout bounds the time that one call to a leaf may run. A new owner of a service without a handover
+	// waits this long before it uses the leaves' slots.
+	MaxLeafTimeout = 2 * time.Second
+	// MaxDeadline bounds the deadline of a profile.
+	MaxDeadline = 60 * time.Second
+	MaxPriority = 9
+)
+
+// Duration is a time.Duration that is written as text ("150ms") in JSON and TOML.
+type Duration time.Duration
+
+// MarshalText writes the duration as time.Duration.String does.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// UnmarshalText parses a duration with its unit, such as "150ms".
+func (d *Duration) UnmarshalText(b []byte) error {
+	v, err := time.ParseDuration(string(b))
+	*d = Duration(v)
+	return err
+}
+
+// Profile is a named set of rules that services run under.
+type Profile struct {
+	// Deadline bounds each query; a caller may ask for less.
+	Deadline Duration `json:"deadline" toml:"deadline"`
+	// LeafTimeout bounds each call to a leaf, at most MaxLeafTimeout.
+	LeafTimeout Duration `json:"leaf_timeout" toml:"leaf_timeout"`
+	// LeastCoverage is the lowest coverage in percent that is returned as an answer, 0 to 100.
+	LeastCoverage float64 `json:"least_coverage" toml:"least_coverage"`
+	// HedgeBudget is the share of extra leaf requests that hedges may add, 0 (no hedging) to 1.
+	HedgeBudget float64 `json:"hedge_budget" toml:"hedge_budget"`
+	// RetryBudget is the share of extra leaf requests that retries may add, 0 (no retries) to 1.
+	RetryBudget float64 `json:"retry_budget" toml:"retry_budget"`
+	// Priority orders waiting requests, 0 (lowest) to MaxPriority.
+	Priority int `json:"priority" toml:"priority"`
+	// NonIdempotent makes every request under this profile run at most once.
+	NonIdempotent bool `json:"non_idempotent" toml:"non_idempotent"`
+	// MaxResultBytes bounds the merged answer; 0 means 16 MiB.
+	MaxResultBytes int `json:"max_result_bytes" toml:"max_result_bytes"`
+}
+
+// Service describes how a service is run.
+type Service struct {
+	// Profile is the default profile.
+	Profile string `json:"profile"`
+	// ExtraProfiles lists further profiles that a request may select.
+	ExtraProfiles []string `json:"extra_profiles,omitempty"`
+	// Slots is the number of concurrent calls that a warm leaf bears.
+	Slots int `json:"slots"`
+	// ColdSlots is the number of concurrent calls that a leaf in cold start bears, at least 1.
+	ColdSlots int `json:"cold_slots"`
+	// Connections is the number of connections that a leaf accepts from all clients together.
+	Connections int `json:"connections"`
+}
+
+// Document is the whole configuration. A Document that was published is never changed.
+type Document struct {
+	// Version grows by one with each accepted change.
+	Version  uint64             `json:"version"`
+	Profiles map[string]Profile `json:"profiles"`
+	Services map[string]Service `json:"services"`
+	// ZonesOut and VMsOut hold what operators have taken out, with the version of the change that did.
+	ZonesOut map[string]uint64 `json:"zones_out"`
+	VMsOut   map[string]uint64 `json:"vms_out"`
+	// Lifted holds fingerprints whose quarantine an operator has lifted, with the version of the change.
+	Lifted map[string]uint64 `json:"lifted"`
+	// ItemVersions holds the version of the last change of each item, such as "profile/gate" or "zone/z1".
+	ItemVersions map[string]uint64 `json:"item_versions"`
+	// History lists the newest changes, oldest first, at most MaxHistory.
+	History []ChangeRecord `json:"history"`
+}
+
+// ChangeRecord notes an accepted change.
+type ChangeRecord struct {
+	ID      string `json:"id"`
+	Version uint64 `json:"version"`
+	Item    string `json:"item"`
+}
+
+// ZoneOut reports whether operators have taken the zone out.
+func (d *Document) ZoneOut(zone string) bool { _, out := d.ZonesOut[zone]; return out }
+
+// VMOut reports whether operators have taken the VM out.
+func (d *Document) VMOut(vm string) bool { _, out := d.VMsOut[vm]; return out }
+
+// Op names what a change does.
+type Op string
+
+// The operations on the document.
+const (
+	OpPutProfile    Op = "put_profile"
+	OpDeleteProfile Op = "delete_profile"
+	OpPutService    Op = "put_service"
+	OpDeleteService Op = "delete_service"
+	OpZoneOut       Op = "zone_out"
+	OpZoneIn        Op = "zone_in"
+	OpVMOut         Op = "vm_out"
+	OpVMIn          Op = "vm_in"
+	OpLift          Op = "lift_quarantine"
+)
+
+// Change is one edit by an operator.
+type Change struct {
+	// ID is unique for each change; a resend uses the same ID and is applied once.
+	ID string `json:"id"`
+	Op Op     `json:"op"`
+	// Name is the profile, service, zone, VM or fingerprint that is changed.
+	Name string `json:"name"`
+	// BaseItemVersion is the item's version that the operator saw, 0 for a new item. It is checked for OpPutProfile,
+	// OpPutService and the deletions when CheckBase is set.
+	BaseItemVersion uint64   `json:"base_item_version"`
+	CheckBase       bool     `json:"check_base"`
+	Profile         *Profile `json:"profile,omitempty"`
+	Service         *Service `json:"service,omitempty"`
+}
+
+// Source gives the newest document that this node knows.
+type Source interface {
+	// Current returns the newest document; nil before the first one was read.
+	Current() *Document
+	// Changed returns a channel that is closed at the next change.
+	Changed() <-chan struct{}
+}
--- /dev/null
+++ b/api/event/event.go
@@ -0,0 +1,76 @@
+// Package event holds the typed events of the time line.
+package event
+
+import "time"
+
+// Kind names what happened.
+type Kind string
+
+// The kinds of events.
+const (
+	NodeStarted       Kind = "node_started"
+	NodeStopping      Kind = "node_stopping"
+	NodeStopped       Kind = "node_stopped"
+	NodeStale         Kind = "node_stale"
+	NodeFresh         Kind = "node_fresh"
+	MemberUp          Kind = "member_up"
+	MemberDown        Kind = "member_down"
+	LeaseTaken        Kind = "lease_taken"
+	LeaseLost         Kind = "lease_lost"
+	LeaseHandedOver   Kind = "lease_handed_over"
+	ConfigAccepted    Kind = "config_accepted"
+	ConfigApplied     Kind = "config_applied"
+	FleetApplied      Kind = "fleet_applied"
+	StoreUp           Kind = "store_up"
+	StoreDown         Kind = "store_down"
+	LeafConnected     Kind = "leaf_connected"
+	LeafLost          Kind = "leaf_lost"
+	LeafCold          Kind = "leaf_cold"
+	LeafWarm          Kind = "leaf_warm"
+	SnapshotSeen      Kind = "snapshot_seen"
+	QueryRestarted    Kind = "query_restarted"
+	QueryFailed       Kind = "query_failed"
+	IntentWritten     Kind = "intent_written"
+	RequestSuspected  Kind = "request_suspected"
+	RequestQuarantine Kind = "request_quarantined"
+	QuarantineLifted  Kind = "quarantine_lifted"
+)
+
+// Stamp is a hybrid logical clock reading. Stamps order events over processes so that a cause precedes its effect.
+type Stamp struct {
+	// WallMillis is the wall clock in milliseconds since 1970.
+	WallMillis int64
+	// Counter orders events with the same WallMillis.
+	Counter uint32
+}
+
+// Before reports whether s is earlier than t.
+func (s Stamp) Before(t Stamp) bool {
+	return s.WallMillis < t.WallMillis || (s.WallMillis == t.WallMillis && s.Counter < t.Counter)
+}
+
+// Time returns the wall clock of the stamp.
+func (s Stamp) Time() time.Time { return time.UnixMilli(s.WallMillis) }
+
+// Event is one entry of the time line. Fields that do not apply are empty.
+type Event struct {
+	Stamp     Stamp
+	Kind      Kind
+	Node      string // VM of the process that recorded the event
+	Zone      string // availability zone of that VM
+	VM        string // VM that the event is about
+	Service   string
+	RequestID string
+	Detail    string
+}
+
+// Recorder takes events. Implementations stamp them, add Node and Zone, and never block.
+type Recorder interface {
+	Record(Event)
+}
+
+// Discard is a Recorder that drops every event.
+type Discard struct{}
+
+// Record drops the event.
+func (Discard) Record(Event) {}
--- /dev/null
+++ b/api/verdict/verdict.go
@@ -0,0 +1,103 @@
+// Package verdict states whether a request may have run on a backend server.
+//
+// A verdict is derived from what happened to an Attempt, so that a wrong "not run" is hard to write. The zero value of
+// Verdict is MayHaveRun, the only safe answer when nothing is known.
+package verdict
+
+import "sync/atomic"
+
+// Verdict says whether a request may have run. Its zero value is MayHaveRun.
+type Verdict struct{ kind kind }
+
+type kind uint8
+
+const (
+	kindMayHaveRun kind = iota
+	kindNotRun
+	kindCompleted
+)
+
+// MayHaveRun returns the verdict of a request of which nothing certain is known.
+func MayHaveRun() Verdict { return Verdict{kindMayHaveRun} }
+
+// Completed returns the verdict of a request that ran and was answered.
+func Completed() Verdict { return Verdict{kindCompleted} }
+
+// IsNotRun reports whether the request certainly did not run and never will.
+func (v Verdict) IsNotRun() bool { return v.kind == kindNotRun }
+
+// IsCompleted reports whether the request ran and its answer is known.
+func (v Verdict) IsCompleted() bool { return v.kind == kindCompleted }
+
+// String returns "may-have-run", "not-run" or "completed".
+func (v Verdict) String() string {
+	switch v.kind {
+	case kindNotRun:
+		return "not-run"
+	case kindCompleted:
+		return "completed"
+	default:
+		return "may-have-run"
+	}
+}
+
+// Parse is the inverse of String. An unknown text gives MayHaveRun.
+func Parse(s string) Verdict {
+	switch s {
+	case "not-run":
+		return Verdict{kindNotRun}
+	case "completed":
+		return Verdict{kindCompleted}
+	default:
+		return Verdict{}
+	}
+}
+
+// Merge combines the verdicts of the parts of one request: not run only if no part ran, completed only if every part
+// completed.
+func Merge(parts ...Verdict) Verdict {
+	if len(parts) == 0 {
+		return Verdict{}
+	}
+	first := parts[0]
+	for _, p := range parts[1:] {
+		if p != first {
+			return Verdict{}
+		}
+	}
+	return first
+}
+
+type attemptState = uint32
+
+const (
+	attemptNotSent attemptState = iota
+	attemptSent
+	attemptRefused
+	attemptAnswered
+)
+
+// Attempt follows one send of a request over one hop. It is safe for concurrent use. The transport calls Begin
+// immediately before it may hand the first byte to the network.
+type Attempt struct{ state atomic.Uint32 }
+
+// Begin records that bytes may leave from now on.
+func (a *Attempt) Begin() { a.state.CompareAndSwap(attemptNotSent, attemptSent) }
+
+// Refused records that the receiver itself said that it did not run the request.
+func (a *Attempt) Refused() { a.state.CompareAndSwap(attemptSent, attemptRefused) }
+
+// Answered records that the whole answer was received.
+func (a *Attempt) Answered() { a.state.CompareAndSwap(attemptSent, attemptAnswered) }
+
+// Verdict returns what is known of the attempt. It is final only once the transport has given the attempt up.
+func (a *Attempt) Verdict() Verdict {
+	switch a.state.Load() {
+	case attemptNotSent, attemptRefused:
+		return Verdict{kindNotRun}
+	case attemptAnswered:
+		return Verdict{kindCompleted}
+	default:
+		return Verdict{}
+	}
+}
