Add settings, the HTTP interface, a client and the command line

Cause: callers and operators need a way to reach a node. Before: ports only. After: internal/settings reads and checks TOML settings, internal/httpapi answers callers and operators, internal/callerclient sends queries and changes, cmd/cyclamenstream has the operators' commands.

--- /dev/null
+++ b/cmd/cyclamenstream/change.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"io"
+	"time"
+
+	"cyclamenstream/api/config"
+	"cyclamenstream/api/operator"
+	"cyclamenstream/internal/callerclient"
+)
+
+// statusInterval is the pause between two looks at the nodes' versions. Nodes learn versions from heartbeats every
+// 250 ms, so that a shorter pause shows nothing new.
+const statusInterval = 250 * time.Millisecond
+
+// waitFlag is the flag of every command that changes the configuration.
+type waitFlag struct {
+	Wait time.Duration `help:"How long to wait until the change is in force on all nodes; 0 does not wait." default:"10s"`
+}
+
+// changeReport is the JSON output of a change.
+type changeReport struct {
+	ID string `json:"id"`
+	operator.ChangeResult
+	// InForce and Nodes are left out if the command did not wait.
+	InForce int `json:"in_force,omitempty"`
+	Nodes   int `json:"nodes,omitempty"`
+}
+
+// apply sends a change under a new identifier, prints its outcome and waits until it is in force.
+func (a *app) apply(ctx context.Context, change config.Change, wait waitFlag) error {
+	change.ID = rand.Text()
+	limited, cancel := a.withTimeout(ctx)
+	defer cancel()
+	report := changeReport{ID: change.ID, ChangeResult: a.client.Change(limited, change)}
+	if report.Outcome == operator.Accepted && wait.Wait > 0 {
+		report.InForce, report.Nodes = a.awaitInForce(ctx, report.Version, wait.Wait)
+	}
+	if err := a.print(report, func(w io.Writer) { printChange(w, report) }); err != nil {
+		return err
+	}
+	switch report.Outcome {
+	case operator.Accepted:
+		if wait.Wait > 0 && (report.Nodes == 0 || report.InForce < report.Nodes) {
+			return fail(exitNotInForce, "accepted, but not in force everywhere within %v", wait.Wait)
+		}
+		return nil
+	case operator.Conflict:
+		return fail(exitConflict, "conflict: the change was based on version %d, the item now has version %d; nothing was written",
+			report.BaseItemVersion, report.ItemVersion)
+	case operator.Rejected:
+		return fail(exitUsage, "rejected: %s", report.Message)
+	case operator.Unavailable:
+		return fail(exitUnavailable, "unavailable, nothing was written: %s", report.Message)
+	default:
+		return fail(exitUnresolved, "unresolved: change %s may have been written: %s", change.ID, report.Message)
+	}
+}
+
+func printChange(w io.Writer, r changeReport) {
+	switch {
+	case r.Outcome != operator.Accepted:
+		fmt.Fprintf(w, "%s\n", r.Outcome)
+	case r.Nodes == 0:
+		fmt.Fprintf(w, "accepted as version %d\n", r.Version)
+	default:
+		fmt.Fprintf(w, "accepted as version %d, in force on %d of %d nodes\n", r.Version, r.InForce, r.Nodes)
+	}
+}
+
+// awaitInForce returns on how many nodes the version is in force, when it is on all of them or the wait is over.
+func (a *app) awaitInForce(ctx context.Context, version uint64, wait time.Duration) (have, all int) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	ticker := time.NewTicker(statusInterval)
+	defer ticker.Stop()
+	for {
+		if status, err := a.client.Status(ctx); err == nil {
+			if have, all = callerclient.InForce(status, version); have == all {
+				return have, all
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return have, all
+		case <-ticker.C:
+		}
+	}
+}
+
+// document reads the configuration for a command.
+func (a *app) document(ctx context.Context) (config.Document, error) {
+	ctx, cancel := a.withTimeout(ctx)
+	defer cancel()
+	document, err := a.client.Document(ctx)
+	if err != nil {
+		return document, readFailure(err)
+	}
+	return document, nil
+}
--- /dev/null
+++ b/cmd/cyclamenstream/vm.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"context"
+
+	"cyclamenstream/api/config"
+)
+
+type vmCommands struct {
+	Out vmOut `cmd:"" help:"Give no new work to a VM; running requests finish."`
+	In  vmIn  `cmd:"" help:"Give work to a VM again."`
+}
+
+type vmOut struct {
+	VM string `arg:"" help:"Identifier of the VM in the platform's list, of a node or a backend server."`
+	waitFlag
+}
+
+// Run takes the VM out.
+func (c vmOut) Run(ctx context.Context, a *app) error {
+	return a.apply(ctx, config.Change{Op: config.OpVMOut, Name: c.VM}, c.waitFlag)
+}
+
+type vmIn struct {
+	VM string `arg:"" help:"Identifier of the VM in the platform's list."`
+	waitFlag
+}
+
+// Run takes the VM back in.
+func (c vmIn) Run(ctx context.Context, a *app) error {
+	return a.apply(ctx, config.Change{Op: config.OpVMIn, Name: c.VM}, c.waitFlag)
+}
--- /dev/null
+++ b/internal/httpapi/problem.go
@@ -0,0 +1,66 @@
+package httpapi
+
+import (
+	"net/http"
+
+	"github.com/gin-gonic/gin"
+
+	"cyclamenstream/api/operator"
+	"cyclamenstream/api/verdict"
+)
+
+// Codes of refusals that only HTTP knows.
+const (
+	codeNotFound verdict.Code = "not_found"
+	codeMethod   verdict.Code = "method_not_allowed"
+)
+
+// statuses maps codes to HTTP status codes. A code that is not listed has status 503: the tier cannot serve the
+// request now.
+var statuses = map[verdict.Code]int{
+	verdict.CodeInvalid:     http.StatusBadRequest,
+	verdict.CodeUnknown:     http.StatusNotFound,
+	codeNotFound:            http.StatusNotFound,
+	codeMethod:              http.StatusMethodNotAllowed,
+	codeSlowBody:            http.StatusRequestTimeout,
+	verdict.CodeDuplicate:   http.StatusConflict,
+	verdict.CodeQuarantined: http.StatusConflict,
+	verdict.CodeTooLarge:    http.StatusRequestEntityTooLarge,
+	codeMediaType:           http.StatusUnsupportedMediaType,
+	verdict.CodeOverloaded:  http.StatusTooManyRequests,
+	verdict.CodeDeadline:    http.StatusGatewayTimeout,
+	verdict.CodeInternal:    http.StatusInternalServerError,
+}
+
+// outcomeStatuses maps the outcomes of a change to HTTP status codes.
+var outcomeStatuses = map[operator.Outcome]int{
+	operator.Accepted:    http.StatusOK,
+	operator.Conflict:    http.StatusConflict,
+	operator.Rejected:    http.StatusBadRequest,
+	operator.Unavailable: http.StatusServiceUnavailable,
+	operator.Unresolved:  http.StatusGatewayTimeout,
+}
+
+func statusOf(code verdict.Code) int {
+	if status, known := statuses[code]; known {
+		return status
+	}
+	return http.StatusServiceUnavailable
+}
+
+// refuse writes the problem body of err.
+func refuse(c *gin.Context, err error, requestID string) {
+	code := verdict.CodeOf(err)
+	writeProblem(c, Problem{
+		Status: statusOf(code), Code: code, Message: verdict.Message(err), Verdict: verdict.Of(err).String(), RequestID: requestID,
+	})
+}
+
+func writeProblem(c *gin.Context, p Problem) {
+	p.Title = http.StatusText(p.Status)
+	if verdict.Parse(p.Verdict).IsNotRun() && (p.Status == http.StatusServiceUnavailable || p.Status == http.StatusTooManyRequests) {
+		c.Header("Retry-After", "1")
+	}
+	writeBody(c, p.Status, TypeProblem, p)
+	c.Abort()
+}
