--- a/cmd/cyclamenstream/query.go
+++ b/cmd/cyclamenstream/query.go
@@ -81,15 +81,22 @@
 	}
 }
 
-// queryFailure prints the problem in JSON output and returns the error with its exit code.
+// queryReport is the JSON output of a query that failed.
+type queryReport struct {
+	Code    verdict.Code `json:"code"`
+	Message string       `json:"message"`
+	Verdict string       `json:"verdict"`
+}
+
+// queryFailure prints the report in JSON output and returns the error with its exit code.
 func (a *app) queryFailure(err error) error {
 	v, code := verdict.Of(err), exitMayHaveRun
 	if v.IsNotRun() {
 		code = exitNotRun
 	}
 	if a.Output == "json" {
-		problem := httpapi.Problem{Code: verdict.CodeOf(err), Message: verdict.Message(err), Verdict: v.String()}
-		if err := a.print(problem, nil); err != nil {
+		report := queryReport{Code: verdict.CodeOf(err), Message: verdict.Message(err), Verdict: v.String()}
+		if err := a.print(report, nil); err != nil {
 			return err
 		}
 	}
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -1,6 +1,7 @@
 package httpapi
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/json"
@@ -100,7 +101,9 @@
 func (s *server) count(c *gin.Context) {
 	start := time.Now()
 	c.Next()
-	scope := s.Scope.Tagged(map[string]string{"route": c.FullPath(), "status": strconv.Itoa(c.Writer.Status())})
+	// The route's pattern, not the path, so that callers cannot create any number of counters.
+	route := cmp.Or(c.FullPath(), "none")
+	scope := s.Scope.Tagged(map[string]string{"route": route, "status": strconv.Itoa(c.Writer.Status())})
 	scope.Counter("http_requests").Inc(1)
 	scope.Timer("http_latency").Record(time.Since(start))
 }
