--- /dev/null
+++ b/internal/member/heartbeat.go
@@ -0,0 +1,359 @@
+package member
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"cyclamenstream/api/config"
+	"cyclamenstream/api/event"
+	"cyclamenstream/api/platform"
+	"cyclamenstream/gen/peerpb"
+	"cyclamenstream/internal/relay"
+)
+
+// round sends a heartbeat to every other member and returns a channel that gets the VM of each one that answers. It is
+// closed when all have answered or failed.
+func (n *Node) round(ctx context.Context) <-chan string {
+	request, sent, members := n.buildPing()
+	answered := make(chan string, len(members))
+	done := make(chan struct{}, len(members))
+	for _, vm := range members {
+		n.work.Go(func() {
+			defer func() { done <- struct{}{} }()
+			ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+			defer cancel()
+			n.pings.Inc(1)
+			reply, err := n.transport.Ping(ctx, vm, request)
+			if err != nil || reply.Vm != vm.ID {
+				n.pingErrors.Inc(1)
+				return
+			}
+			n.handleReply(vm, sent, request.MemberSet, reply)
+			answered <- vm.ID
+		})
+	}
+	n.work.Go(func() {
+		for range members {
+			<-done
+		}
+		close(answered)
+	})
+	return answered
+}
+
+// buildPing builds the heartbeat of a round. Its time of sending is taken before the first byte leaves.
+func (n *Node) buildPing() (request *peerpb.PingRequest, sent instant, members []platform.VM) {
+	n.roundMu.Lock()
+	defer n.roundMu.Unlock()
+	sent = n.now()
+	fresh := n.CheckFresh() == nil
+	services := n.claimable(sent, fresh)
+	hash := n.ledger.claim(sent, services, fresh)
+	n.sequence++
+	stamp := n.clock.Stamp()
+	request = &peerpb.PingRequest{
+		Vm: n.self.ID, BootId: n.boot, Sequence: n.sequence, Stopping: n.stop.Load(), MemberSet: hash,
+		Documents: n.relay.Versions(), Quarantine: n.exportQuarantine(),
+		StampWallMs: stamp.WallMillis, StampCounter: stamp.Counter, Fresh: fresh, Ready: n.ready(sent, fresh),
+	}
+	for _, service := range services {
+		request.Claims = append(request.Claims, &peerpb.Claim{Service: service})
+	}
+	for service, successor := range n.ledger.releases(sent) {
+		request.Claims = append(request.Claims, &peerpb.Claim{Service: service, ReleaseTo: successor})
+	}
+	for _, vm := range n.view.Load().members {
+		if vm.ID != n.self.ID {
+			members = append(members, vm)
+		}
+	}
+	return request, sent, members
+}
+
+// ready reports whether this node may be given services. Without a majority it could not acquire them.
+func (n *Node) ready(now instant, fresh bool) bool {
+	return fresh && n.majority.Load() && !n.stop.Load() && n.ledger.steady(now)
+}
+
+// handleReply takes in the answer to a heartbeat.
+func (n *Node) handleReply(from platform.VM, sent instant, hash uint64, reply *peerpb.PingReply) {
+	n.clock.Observe(event.Stamp{WallMillis: reply.StampWallMs, Counter: reply.StampCounter})
+	n.importQuarantine(reply.Quarantine)
+	n.relay.Heard(from, n.base.Add(sent), reply.Documents)
+	now := n.now()
+	n.ledger.answered(now, from.ID, sent, reply.MemberSet == hash, reply.Fresh, reply.Acknowledged)
+	n.noteReply(from, sent, now, reply)
+	n.refreshView()
+	n.updateExcuses()
+	n.syncOwned(now)
+}
+
+func (n *Node) noteReply(from platform.VM, sent, now instant, reply *peerpb.PingReply) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p := n.peer(from.ID)
+	if sent < p.heard {
+		return
+	}
+	p.boot, p.heard, p.heardWall, p.fresh = reply.BootId, sent, time.Now(), reply.Fresh
+	p.holders = map[string]string{}
+	for _, h := range reply.Holders {
+		p.holders[h.Service] = h.Vm
+	}
+	for _, d := range reply.Documents {
+		if i := documentIndex(d.Key); i >= 0 {
+			p.versions[i] = d.Version
+			p.confirmed[i] = sent - time.Duration(d.ConfirmedAgeMs)*time.Millisecond
+			if d.ConfirmedAgeMs < 0 {
+				p.confirmed[i] = now - 2*FreshLimit
+			}
+		}
+	}
+	n.noteState(p, now, reply.Stopping, reply.Ready)
+	if !p.up {
+		p.up = true
+		n.events.Record(event.Event{Kind: event.MemberUp, VM: from.ID})
+		n.signalMembers()
+	}
+}
+
+// noteState notes a peer's flags and since when it is alive and ready.
+func (n *Node) noteState(p *peer, now instant, stopping, ready bool) {
+	if ready && (!p.ready || !p.up) {
+		p.readySince = now
+	}
+	if stopping != p.stopping {
+		n.signalMembers()
+	}
+	p.stopping, p.ready = stopping, ready
+}
+
+func documentIndex(key string) int {
+	return slices.Index([]string{config.Key, relay.FleetKey}, key)
+}
+
+// HandlePing answers a peer's heartbeat.
+func (n *Node) HandlePing(_ context.Context, request *peerpb.PingRequest) (*peerpb.PingReply, error) {
+	n.clock.Observe(event.Stamp{WallMillis: request.StampWallMs, Counter: request.StampCounter})
+	n.importQuarantine(request.Quarantine)
+	if from, known := n.view.Load().nodes[request.Vm]; known {
+		n.relay.Heard(from, time.Time{}, request.Documents)
+	}
+	p := ping{from: identity{request.Vm, request.BootId}, sequence: request.Sequence, hash: request.MemberSet,
+		releases: map[string]string{}}
+	for _, c := range request.Claims {
+		if c.ReleaseTo != "" {
+			p.releases[c.Service] = c.ReleaseTo
+		} else {
+			p.claims = append(p.claims, c.Service)
+		}
+	}
+	now := n.now()
+	fresh := n.CheckFresh() == nil
+	acknowledged := n.ledger.receive(now, p, fresh)
+	n.notePing(request, now)
+	if len(p.releases) > 0 {
+		n.updateHints(now)
+	}
+	return n.pingReply(now, fresh, acknowledged), nil
+}
+
+func (n *Node) notePing(request *peerpb.PingRequest, now instant) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if p := n.peers[request.Vm]; p != nil && p.boot == request.BootId {
+		n.noteState(p, now, request.Stopping, request.Ready)
+	}
+}
+
+func (n *Node) pingReply(now instant, fresh bool, acknowledged []string) *peerpb.PingReply {
+	stamp := n.clock.Stamp()
+	reply := &peerpb.PingReply{
+		Vm: n.self.ID, BootId: n.boot, MemberSet: n.ledger.memberHash(), Acknowledged: acknowledged,
+		Documents: n.relay.Versions(), Quarantine: n.exportQuarantine(),
+		StampWallMs: stamp.WallMillis, StampCounter: stamp.Counter,
+		Stopping: n.stop.Load(), Fresh: fresh, Ready: n.ready(now, fresh),
+	}
+	for service, vm := range n.ledger.holders(now) {
+		reply.Holders = append(reply.Holders, &peerpb.Holder{Service: service, Vm: vm})
+	}
+	return reply
+}
+
+// HandleGetDocument serves a document to a peer.
+func (n *Node) HandleGetDocument(_ context.Context, request *peerpb.GetDocumentRequest) (*peerpb.GetDocumentReply, error) {
+	return n.relay.Document(request), nil
+}
+
+func (n *Node) exportQuarantine() []*peerpb.QuarantineEntry {
+	if q := n.quarantine.Load(); q != nil {
+		return (*q).Export()
+	}
+	return nil
+}
+
+func (n *Node) importQuarantine(entries []*peerpb.QuarantineEntry) {
+	if q := n.quarantine.Load(); q != nil && len(entries) > 0 {
+		(*q).Import(entries)
+	}
+}
+
+// refreshView takes in new documents and confirmations. The confirmations are read first, so that the view is at least
+// as new as what they confirm.
+func (n *Node) refreshView() {
+	n.viewMu.Lock()
+	defer n.viewMu.Unlock()
+	configuration, list := n.relay.Confirmed()
+	doc, fleet := n.relay.Current(), n.relay.Fleet()
+	now, old := n.now(), n.view.Load()
+	if doc != nil && doc.Version > old.configVersion || fleet != nil && fleet.Revision > old.fleetRevision {
+		next := newView(doc, fleet)
+		if fleet != nil {
+			n.ledger.setMembers(now, next.set, n.CheckFresh() == nil)
+		}
+		n.view.Store(next)
+		n.mu.Lock()
+		n.signalMembers()
+		n.mu.Unlock()
+	}
+	n.basis.Store(&[2]instant{configuration.Sub(n.base), list.Sub(n.base)})
+}
+
+// updatePeers notes members that are no longer heard and decides whether this node watches the sources.
+func (n *Node) updatePeers(now instant) {
+	v := n.view.Load()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for id, p := range n.peers {
+		if p.up && !n.alive(id, now) {
+			p.up, p.ready = false, false
+			n.events.Record(event.Event{Kind: event.MemberDown, VM: id})
+			n.signalMembers()
+		}
+		if _, listed := v.nodes[id]; !listed && !p.up {
+			delete(n.peers, id)
+		}
+	}
+	n.relay.SetWatching(n.isWatcher(v, now))
+}
+
+// isWatcher reports whether this node is among the first live members by rank. A node that is no member yet reads the
+// sources itself.
+func (n *Node) isWatcher(v *view, now instant) bool {
+	if !v.isMember(n.self.ID) {
+		return true
+	}
+	own, before := rank(relay.FleetKey, n.self.ID), 0
+	for _, vm := range v.members {
+		if vm.ID != n.self.ID && n.alive(vm.ID, now) && rank(relay.FleetKey, vm.ID) > own {
+			before++
+		}
+	}
+	return before < watchers
+}
+
+// updateExcuses finds out in which time the members of a majority lack a confirmation.
+func (n *Node) updateExcuses() {
+	v := n.view.Load()
+	own := [2]uint64{v.configVersion, v.fleetRevision}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.now()
+	heard := v.set.reached(n.heardTimes(v, now), max(1, now-heardLimit))
+	n.majority.Store(heard > 0)
+	for i := range n.excuses {
+		e := &excuse{until: heard + heardLimit}
+		if heard == 0 {
+			e.until = 0
+		}
+		for _, vm := range v.members {
+			p := n.peers[vm.ID]
+			if p == nil || vm.ID == n.self.ID || now-p.heard > heardLimit {
+				continue
+			}
+			e.from = max(e.from, p.confirmed[i]+FreshLimit)
+			if p.versions[i] > own[i] {
+				e.until = 0 // A change was accepted that this node does not hold yet.
+			}
+		}
+		n.excuses[i].Store(e)
+	}
+}
+
+func (n *Node) recordFresh() {
+	fresh := n.CheckFresh() == nil
+	if n.fresh.Swap(fresh) == fresh {
+		return
+	}
+	kind := event.NodeStale
+	if fresh {
+		kind = event.NodeFresh
+	}
+	n.events.Record(event.Event{Kind: kind, VM: n.self.ID})
+}
+
+// peer returns the entry of a VM. The caller holds mu.
+func (n *Node) peer(vm string) *peer {
+	p := n.peers[vm]
+	if p == nil {
+		p = &peer{heard: -LeaseTime}
+		n.peers[vm] = p
+	}
+	return p
+}
+
+// alive reports whether the VM was heard within the lease time. The caller holds mu.
+func (n *Node) alive(vm string, now instant) bool {
+	if vm == n.self.ID {
+		return true
+	}
+	p := n.peers[vm]
+	return p != nil && p.boot != "" && now-p.heard < LeaseTime
+}
+
+func (n *Node) stopping(vm string) bool {
+	if vm == n.self.ID {
+		return n.stop.Load()
+	}
+	p := n.peers[vm]
+	return p != nil && p.stopping
+}
+
+// signalMembers wakes the waiters on the member view. The caller holds mu.
+func (n *Node) signalMembers() {
+	close(n.memberChange)
+	n.memberChange = make(chan struct{})
+}
+
+// eligible returns the members that may own services: alive, ready, not stopping and not leaving. since is the instant
+// by which they must have been ready. The caller holds mu.
+func (n *Node) eligible(v *view, now, since instant) []platform.VM {
+	var vms []platform.VM
+	for _, vm := range v.members {
+		if vm.State != platform.StateLive {
+			continue
+		}
+		if vm.ID == n.self.ID {
+			if n.ready(now, n.fresh.Load()) {
+				vms = append(vms, vm)
+			}
+			continue
+		}
+		p := n.peers[vm.ID]
+		if n.alive(vm.ID, now) && p.ready && !p.stopping && p.readySince <= since {
+			vms = append(vms, vm)
+		}
+	}
+	return vms
+}
+
+func sortedServices[V any](m map[string]V) []string {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, cmp.Compare)
+	return names
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,437 @@
+// Package relay spreads versioned documents between the nodes and keeps track of when they were last confirmed newest.
+package relay
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cyclamenstream/api/config"
+	"cyclamenstream/api/event"
+	"cyclamenstream/api/platform"
+	"cyclamenstream/gen/peerpb"
+	"cyclamenstream/internal/configstore"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// FleetKey is the key under which the list of VMs is spread; its version is Fleet.Revision.
+const FleetKey = "cyclamenstream/fleet"
+
+// Times of the relay.
+const (
+	// PollInterval is the time between two reads of a source by a watcher.
+	PollInterval = 500 * time.Millisecond
+	// readTimeout bounds a read. Reads overlap, so that a source that takes up to this time still confirms.
+	readTimeout = 1500 * time.Millisecond
+	// fallbackAge is the age of a confirmation above which a node that is no watcher reads the source itself: half of
+	// the freshness limit of 2 s.
+	fallbackAge = time.Second
+	// fetchTimeout bounds the call that fetches a document from a peer.
+	fetchTimeout = 2 * time.Second
+	// watchRetry is the pause after a failed watch.
+	watchRetry = 200 * time.Millisecond
+)
+
+// Fetcher gets documents from peers.
+type Fetcher interface {
+	GetDocument(ctx context.Context, to platform.VM, request *peerpb.GetDocumentRequest) (*peerpb.GetDocumentReply, error)
+}
+
+// document is one spread document. Its version only grows.
+type document struct {
+	key   string
+	parse func(value []byte) (version uint64, parsed any, err error)
+
+	mu        sync.Mutex
+	value     []byte
+	fetching  bool
+	announced uint64
+	// version, parsed and confirmed are written under mu and read without it.
+	version   atomic.Uint64
+	parsed    atomic.Value
+	confirmed atomic.Int64 // time of the newest confirmation after Relay.base, in nanoseconds; 0 for none
+}
+
+// Relay holds the documents at their highest versions. It is safe for concurrent use.
+type Relay struct {
+	store     platform.Store
+	inventory platform.Inventory
+	fetcher   Fetcher
+	events    event.Recorder
+	base      time.Time // monotonic origin of all confirmation times, before every read
+
+	config, fleet *document
+	watching      atomic.Bool
+	storeUp       atomic.Bool
+	storeVersion  atomic.Uint64 // version of the configuration's key in the latest read
+
+	mu      sync.Mutex
+	changed chan struct{}
+	work    sync.WaitGroup
+	ctx     context.Context
+
+	reads, readErrors, fetches, corrupt tally.Counter
+}
+
+// New returns a relay that holds nothing yet. It implements config.Source.
+func New(store platform.Store, inventory platform.Inventory, fetcher Fetcher, events event.Recorder,
+	scope tally.Scope) *Relay {
+	scope = scope.SubScope("relay")
+	return &Relay{
+		store: store, inventory: inventory, fetcher: fetcher, events: events,
+		base:    time.Now().Add(-time.Nanosecond),
+		config:  &document{key: config.Key, parse: parseConfig},
+		fleet:   &document{key: FleetKey, parse: parseFleet},
+		changed: make(chan struct{}),
+		reads:   scope.Counter("reads"), readErrors: scope.Counter("read_errors"),
+		fetches: scope.Counter("fetches"), corrupt: scope.Counter("corrupt_documents"),
+	}
+}
+
+func parseConfig(value []byte) (uint64, any, error) {
+	doc, err := configstore.Decode(value)
+	if err != nil {
+		return 0, nil, err
+	}
+	return doc.Version, doc, nil
+}
+
+func parseFleet(value []byte) (uint64, any, error) {
+	fleet := &platform.Fleet{}
+	if err := json.Unmarshal(value, fleet); err != nil {
+		return 0, nil, err
+	}
+	if fleet.Revision == 0 {
+		return 0, nil, errors.New("list of VMs without a revision")
+	}
+	return fleet.Revision, fleet, nil
+}
+
+// Start reads the sources and spreads documents until ctx ends. Wait returns when all its work has ended.
+func (r *Relay) Start(ctx context.Context) {
+	r.ctx = ctx
+	r.work.Go(func() { r.poll(ctx, r.config, r.readConfig) })
+	r.work.Go(func() { r.poll(ctx, r.fleet, r.readFleet) })
+	r.work.Go(func() { r.watch(ctx) })
+}
+
+// Wait returns when the work begun by Start has ended.
+func (r *Relay) Wait() { r.work.Wait() }
+
+// SetWatching says whether this node is one of those that watch the sources.
+func (r *Relay) SetWatching(watching bool) { r.watching.Store(watching) }
+
+// Current returns the newest configuration; nil before the first one was read.
+func (r *Relay) Current() *config.Document {
+	doc, _ := r.config.parsed.Load().(*config.Document)
+	return doc
+}
+
+// Fleet returns the newest list of VMs; nil before the first one was read. It must not be changed.
+func (r *Relay) Fleet() *platform.Fleet {
+	fleet, _ := r.fleet.parsed.Load().(*platform.Fleet)
+	return fleet
+}
+
+// Changed returns a channel that is closed when the next newer document arrives.
+func (r *Relay) Changed() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changed
+}
+
+// StoreUp reports whether the latest read of the store succeeded.
+func (r *Relay) StoreUp() bool { return r.storeUp.Load() }
+
+// Announced returns the highest version of the configuration that a peer has told of.
+func (r *Relay) Announced() uint64 {
+	r.config.mu.Lock()
+	defer r.config.mu.Unlock()
+	return r.config.announced
+}
+
+// Confirmed returns the times at which the configuration and the list of VMs were last confirmed newest; the zero time
+// for none. It takes no lock.
+func (r *Relay) Confirmed() (configuration, fleet time.Time) {
+	return r.confirmedAt(r.config), r.confirmedAt(r.fleet)
+}
+
+func (r *Relay) confirmedAt(d *document) time.Time {
+	if offset := d.confirmed.Load(); offset > 0 {
+		return r.base.Add(time.Duration(offset))
+	}
+	return time.Time{}
+}
+
+// Versions describes the held documents for a heartbeat.
+func (r *Relay) Versions() []*peerpb.DocumentVersion {
+	versions := make([]*peerpb.DocumentVersion, 0, 2)
+	for _, d := range []*document{r.config, r.fleet} {
+		d.mu.Lock()
+		v := &peerpb.DocumentVersion{Key: d.key, Version: d.version.Load(), ConfirmedAgeMs: -1}
+		if at := r.confirmedAt(d); !at.IsZero() {
+			// Rounded up, so that the peer never takes over a later time.
+			v.ConfirmedAgeMs = int64((time.Since(at) + time.Millisecond - 1) / time.Millisecond)
+		}
+		d.mu.Unlock()
+		versions = append(versions, v)
+	}
+	return versions
+}
+
+// Document serves GetDocument.
+func (r *Relay) Document(request *peerpb.GetDocumentRequest) *peerpb.GetDocumentReply {
+	d := r.byKey(request.Key)
+	if d == nil {
+		return &peerpb.GetDocumentReply{}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.version.Load() <= request.Above {
+		return &peerpb.GetDocumentReply{}
+	}
+	return &peerpb.GetDocumentReply{Version: d.version.Load(), Value: d.value}
+}
+
+// holds reports whether the held value is the given one.
+func (d *document) holds(value []byte) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return bytes.Equal(d.value, value)
+}
+
+func (r *Relay) byKey(key string) *document {
+	switch key {
+	case config.Key:
+		return r.config
+	case FleetKey:
+		return r.fleet
+	}
+	return nil
+}
+
+// Heard takes in the versions that a peer reported. sentAt is the time the answered ping was sent, or the zero time if
+// the versions came with the peer's own ping, whose age on the way is not known.
+func (r *Relay) Heard(from platform.VM, sentAt time.Time, versions []*peerpb.DocumentVersion) {
+	for _, v := range versions {
+		d := r.byKey(v.Key)
+		if d == nil {
+			continue
+		}
+		var at time.Time
+		if v.ConfirmedAgeMs >= 0 && !sentAt.IsZero() {
+			at = sentAt.Add(-time.Duration(v.ConfirmedAgeMs) * time.Millisecond)
+		}
+		if d.version.Load() >= v.Version {
+			r.confirm(d, v.Version, at)
+			continue
+		}
+		r.fetch(d, from, v.Version, at)
+	}
+}
+
+// confirm notes that at the given time no version above the given one existed.
+func (r *Relay) confirm(d *document, version uint64, at time.Time) {
+	offset := int64(at.Sub(r.base))
+	if at.IsZero() || offset <= 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if version <= d.version.Load() && d.version.Load() > 0 && offset > d.confirmed.Load() {
+		d.confirmed.Store(offset)
+	}
+}
+
+// fetch gets a newer document from the peer, one at a time for each document.
+func (r *Relay) fetch(d *document, from platform.VM, version uint64, confirmed time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.announced = max(d.announced, version)
+	if d.fetching || r.ctx == nil || r.ctx.Err() != nil {
+		return
+	}
+	d.fetching = true
+	r.work.Go(func() {
+		r.fetches.Inc(1)
+		ctx, cancel := context.WithTimeout(r.ctx, fetchTimeout)
+		defer cancel()
+		reply, err := r.fetcher.GetDocument(ctx, from, &peerpb.GetDocumentRequest{Key: d.key, Above: d.version.Load()})
+		d.mu.Lock()
+		d.fetching = false
+		d.mu.Unlock()
+		if err == nil && reply.Version > 0 {
+			r.adopt(d, reply.Version, reply.Value)
+			r.confirm(d, version, confirmed)
+		}
+	})
+}
+
+// adopt takes in a value if it is a document of the stated version and newer than the held one.
+func (r *Relay) adopt(d *document, version uint64, value []byte) error {
+	parsedVersion, parsed, err := d.parse(value)
+	if err == nil && parsedVersion != version {
+		err = fmt.Errorf("%s holds version %d, announced as %d", d.key, parsedVersion, version)
+	}
+	if err != nil {
+		r.corrupt.Inc(1)
+		return err
+	}
+	d.mu.Lock()
+	newer := version > d.version.Load()
+	if newer {
+		d.value = value
+		d.parsed.Store(parsed)
+		d.version.Store(version)
+	}
+	d.mu.Unlock()
+	if newer {
+		r.notify(d, version)
+	}
+	return nil
+}
+
+func (r *Relay) notify(d *document, version uint64) {
+	kind := event.ConfigApplied
+	if d == r.fleet {
+		kind = event.FleetApplied
+	}
+	r.events.Record(event.Event{Kind: kind, Detail: strconv.FormatUint(version, 10)})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// Adopt takes in a configuration that is in the store.
+func (r *Relay) Adopt(doc *config.Document) {
+	if value, err := configstore.Encode(doc); err == nil {
+		_ = r.adopt(r.config, doc.Version, value) // A document that the editor has just built parses.
+	}
+}
+
+// poll reads a source at each interval while this node is a watcher or its confirmation is old.
+func (r *Relay) poll(ctx context.Context, d *document, read func(context.Context) error) {
+	ticker := time.NewTicker(PollInterval)
+	defer ticker.Stop()
+	for {
+		if r.watching.Load() || time.Since(r.confirmedAt(d)) > fallbackAge {
+			r.work.Go(func() { r.readOnce(ctx, d, read) })
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (r *Relay) readOnce(ctx context.Context, d *document, read func(context.Context) error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	r.reads.Inc(1)
+	err := read(ctx)
+	if err != nil {
+		r.readErrors.Inc(1)
+	}
+	if d == r.config && ctx.Err() != context.Canceled {
+		r.setStoreUp(err == nil)
+	}
+}
+
+func (r *Relay) setStoreUp(up bool) {
+	if r.storeUp.Swap(up) == up {
+		return
+	}
+	kind := event.StoreDown
+	if up {
+		kind = event.StoreUp
+	}
+	r.events.Record(event.Event{Kind: kind})
+}
+
+// readConfig reads the store. An older document than the held one confirms nothing: the store has lost writes.
+func (r *Relay) readConfig(ctx context.Context) error {
+	began := time.Now()
+	entry, err := r.store.Get(ctx, config.Key)
+	if err != nil {
+		return err
+	}
+	return r.takeConfig(entry, began)
+}
+
+func (r *Relay) takeConfig(entry platform.Entry, began time.Time) error {
+	r.storeVersion.Store(entry.Version)
+	if entry.Version == 0 {
+		return nil
+	}
+	if r.config.holds(entry.Value) {
+		r.confirm(r.config, r.config.version.Load(), began)
+		return nil
+	}
+	version, _, err := parseConfig(entry.Value)
+	if err != nil {
+		r.corrupt.Inc(1)
+		return err
+	}
+	if err := r.adopt(r.config, version, entry.Value); err != nil {
+		return err
+	}
+	if version == r.config.version.Load() {
+		r.confirm(r.config, version, began)
+	}
+	return nil
+}
+
+func (r *Relay) readFleet(ctx context.Context) error {
+	began := time.Now()
+	fleet, err := r.inventory.List(ctx)
+	if err != nil {
+		return err
+	}
+	if fleet.Revision > r.fleet.version.Load() {
+		value, err := json.Marshal(fleet)
+		if err != nil {
+			return err
+		}
+		if err := r.adopt(r.fleet, fleet.Revision, value); err != nil {
+			return err
+		}
+	}
+	if fleet.Revision == r.fleet.version.Load() {
+		r.confirm(r.fleet, fleet.Revision, began)
+	}
+	return nil
+}
+
+// watch waits for newer documents while this node is a watcher, so that they arrive before the next poll.
+func (r *Relay) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		if r.watching.Load() {
+			r.watchOnce(ctx)
+		}
+		timer := time.NewTimer(watchRetry)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+		}
+	}
+}
+
+// watchOnce waits at most fetchTimeout, so that a store that came back with older versions is watched anew.
+func (r *Relay) watchOnce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	entry, err := r.store.Watch(ctx, config.Key, r.storeVersion.Load())
+	if err == nil {
+		_ = r.takeConfig(entry, time.Time{}) // A watch confirms nothing: it is not known when the store read the value.
+	}
+}
