Add the policy of leaf slots: limits, cold-start ramp and queue

Cause: a leaf in cold start bears one call while a service has more nodes than slots, so one owner has to admit all work to a leaf.

Before: nothing decided who may send to a leaf. After: package slots keeps, for each service under one lock, the limit, the slots in use, the ramp and the boot identifier of each leaf and one queue by priority and deadline. It does no input or output and reads an injected clock. Slots of lost calls stay in use until the end is confirmed, the timeout plus the end grace has passed, or a new session shows another boot identifier. A boot identifier that changes on a running session frees nothing, since its calls may go on with the session. A request that runs alone reserves one leaf, at most a third of the service's leaves are kept that way, and a request with higher priority or an earlier deadline still precedes it.

--- /dev/null
+++ b/internal/slots/acquire.go
@@ -0,0 +1,229 @@
+package slots
+
+import (
+	"slices"
+	"time"
+
+	"cyclamenstream/api/config"
+	"cyclamenstream/api/leaf"
+)
+
+// Request asks for a slot.
+type Request struct {
+	// Replicas returns the leaves that may serve the request now.
+	Replicas func() []leaf.Replica
+	// Exclude lists leaves that must not be used.
+	Exclude []string
+	// Priority is 0 (lowest) to config.MaxPriority.
+	Priority int
+	Deadline time.Time
+	// Immediate makes Acquire fail when no slot is free.
+	Immediate bool
+	// Alone asks for a leaf that runs nothing else, and keeps others off it.
+	Alone bool
+}
+
+func (r *Request) mayUse(vm string) bool {
+	if slices.Contains(r.Exclude, vm) {
+		return false
+	}
+	for _, replica := range r.Replicas() {
+		if replica.VM == vm {
+			return true
+		}
+	}
+	return false
+}
+
+// precedes reports whether r is served before o, which has waited longer.
+func (r *Request) precedes(o *Request) bool {
+	return r.Priority > o.Priority || r.Priority == o.Priority && r.Deadline.Before(o.Deadline)
+}
+
+func (r *Request) hasReplica() bool {
+	for _, replica := range r.Replicas() {
+		if !slices.Contains(r.Exclude, replica.VM) {
+			return true
+		}
+	}
+	return false
+}
+
+// Acquire returns a grant, or a waiter whose deliver function is called once with a grant or an error. Deliver is
+// called with the service's lock held; it must not block or call back.
+func (s *Service) Acquire(r Request, deliver func(*Grant, error)) (*Grant, *Waiter, error) {
+	now := s.lock()
+	defer func() { s.unlock(now) }()
+	if !s.open {
+		return nil, nil, ErrClosed
+	}
+	if !r.hasReplica() {
+		return nil, nil, ErrNoReplica
+	}
+	if err := s.lateError(&r, now); err != nil {
+		return nil, nil, err
+	}
+	r.Priority = min(max(r.Priority, 0), config.MaxPriority)
+	best := s.best(&r)
+	if best != nil && (!r.Alone || len(best.grants) == 0) {
+		return s.grant(best, r.Alone), nil, nil
+	}
+	if r.Immediate {
+		return nil, nil, ErrNoSlot
+	}
+	w := &Waiter{Request: r, deliver: deliver}
+	s.queue.push(w)
+	if best != nil {
+		s.fill(best) // reserves the leaf
+	}
+	if s.queue.size > s.opt.MaxQueue {
+		s.drop(s.queue.worst(), ErrQueueFull)
+		s.fillAll() // a leaf may have been reserved for it
+	}
+	return nil, w, nil
+}
+
+// Cancel ends a wait and reports whether it did; if not, a result was delivered.
+func (s *Service) Cancel(w *Waiter) bool {
+	now := s.lock()
+	defer func() { s.unlock(now) }()
+	if w.done {
+		return false
+	}
+	s.remove(w)
+	s.fillAll()
+	return true
+}
+
+// best returns the leaf with the most free slots, then the fewest calls in flight, then in this node's zone; nil if no
+// slot is free. A request that runs alone prefers the leaf with the fewest calls.
+func (s *Service) best(r *Request) *leafState {
+	if !s.started || (r.Alone && s.alone >= s.maxAlone()) {
+		return nil
+	}
+	var best *leafState
+	for _, replica := range r.Replicas() {
+		l := s.leaves[replica.VM]
+		if l == nil || !l.usable() || l.reserved != nil && !r.precedes(&l.reserved.Request) || slices.Contains(r.Exclude, l.vm) {
+			continue
+		}
+		if best == nil || s.better(l, best, r.Alone) {
+			best = l
+		}
+	}
+	return best
+}
+
+func (s *Service) better(a, b *leafState, alone bool) bool {
+	if fa, fb := a.free(), b.free(); !alone && fa != fb {
+		return fa > fb
+	}
+	if len(a.grants) != len(b.grants) {
+		return len(a.grants) < len(b.grants)
+	}
+	return a.zone == s.opt.Zone && b.zone != s.opt.Zone
+}
+
+// lateError returns the error of a request that cannot be served in time, else nil.
+func (s *Service) lateError(r *Request, now time.Time) error {
+	if !now.Before(r.Deadline) {
+		return ErrDeadline
+	}
+	start := now
+	if !s.started && s.usableFrom.After(now) {
+		start = s.usableFrom
+	}
+	if r.Deadline.Sub(start) < s.opt.Typical() {
+		return ErrTooLate
+	}
+	return nil
+}
+
+// dropLate drops the requests that cannot be served in time, which are at the heads of their classes. It reports
+// whether a leaf was reserved for one of them.
+func (s *Service) dropLate(now time.Time) bool {
+	alone := s.alone
+	for i := range s.queue.classes {
+		for len(s.queue.classes[i]) > 0 {
+			w := s.queue.classes[i][0]
+			err := s.lateError(&w.Request, now)
+			if err == nil {
+				break
+			}
+			s.drop(w, err)
+		}
+	}
+	return s.alone < alone
+}
+
+// fill gives the leaf's free slots to waiting requests. The best one may have to wait until the leaf is empty; the leaf
+// is then reserved for it, and later requests get no slot there unless they precede it.
+func (s *Service) fill(l *leafState) {
+	for s.started && l.usable() {
+		w := s.queue.next(func(w *Waiter) bool {
+			free := w.reserved == nil && (!w.Alone || l.reserved != nil || s.alone < s.maxAlone())
+			return (free || w == l.reserved) && w.mayUse(l.vm)
+		})
+		if w == nil {
+			return
+		}
+		if w.Alone && w != l.reserved {
+			s.unreserve(l)
+			s.reserve(l, w)
+		}
+		if w.Alone && len(l.grants) > 0 {
+			return
+		}
+		s.deliver(w, l)
+	}
+}
+
+func (s *Service) fillAll() {
+	if !s.started || s.queue.size == 0 {
+		return
+	}
+	for _, l := range s.order {
+		s.fill(l)
+	}
+}
+
+func (s *Service) deliver(w *Waiter, l *leafState) {
+	s.remove(w)
+	w.deliver(s.grant(l, w.Alone), nil)
+}
+
+func (s *Service) drop(w *Waiter, err error) {
+	s.remove(w)
+	w.deliver(nil, err)
+}
+
+// remove takes a waiter out of the queue and ends its reservation.
+func (s *Service) remove(w *Waiter) {
+	s.queue.remove(w)
+	w.done = true
+	if w.reserved != nil {
+		s.unreserve(w.reserved)
+	}
+}
+
+func (s *Service) reserve(l *leafState, w *Waiter) {
+	l.reserved, w.reserved = w, l
+	s.alone++
+}
+
+func (s *Service) unreserve(l *leafState) {
+	if l.reserved != nil {
+		l.reserved.reserved, l.reserved = nil, nil
+		s.alone--
+	}
+}
+
+func (s *Service) grant(l *leafState, alone bool) *Grant {
+	g := &Grant{service: s, leaf: l, bootID: l.bootID, conn: l.conn, epoch: l.epoch, alone: alone}
+	if alone {
+		l.runsAlone = true
+		s.alone++
+	}
+	l.add(g)
+	return g
+}
--- /dev/null
+++ b/internal/slots/grant.go
@@ -0,0 +1,163 @@
+package slots
+
+import (
+	"slices"
+	"time"
+
+	"cyclamenstream/api/backend"
+)
+
+// state is what a grant's slot is used for.
+type state uint8
+
+const (
+	granted state = iota // not sent
+	sent                 // the leaf may work on the call
+	held                 // the session is lost or the answer unknown; the leaf may work on the call until Grant.until
+	ended                // not in use
+)
+
+// Grant is a slot in use on one leaf.
+type Grant struct {
+	service *Service
+	leaf    *leafState
+	bootID  string
+	conn    any
+	epoch   uint64
+	alone   bool
+	index   int
+
+	state state
+	until time.Time // when the leaf has certainly stopped a sent call
+}
+
+// VM returns the leaf's VM.
+func (g *Grant) VM() string { return g.leaf.vm }
+
+// BootID returns the boot identifier of the leaf when the slot was granted.
+func (g *Grant) BootID() string { return g.bootID }
+
+// Session returns the session that the leaf was connected with.
+func (g *Grant) Session() any { return g.conn }
+
+// Send marks the slot as used by a call with the given timeout, and reports whether the call may be sent. It must not
+// be sent when the leaf's session or boot identifier has changed or ownership has ended since the grant.
+func (g *Grant) Send(timeout time.Duration) bool {
+	now := g.service.lock()
+	defer func() { g.service.unlock(now) }()
+	if g.state != granted {
+		return false
+	}
+	g.state, g.until = sent, now.Add(timeout+backend.EndGrace)
+	return true
+}
+
+// Outcome is how a call ended.
+type Outcome uint8
+
+// The outcomes of a call.
+const (
+	// NotSent says that the leaf cannot have received the call.
+	NotSent Outcome = iota
+	// Answered says that the leaf has answered.
+	Answered
+	// Refused says that the leaf did not run the call because of its load.
+	Refused
+	// Ended says that the leaf has confirmed the end of the call without an answer.
+	Ended
+	// Lost says that nothing is known: the leaf may run the call until its timeout.
+	Lost
+)
+
+// Finish says how the call ended. Latency is used for Answered and Ended, the boot identifier that the leaf has shown
+// for Answered. Finish does nothing when the slot is no longer in use.
+func (g *Grant) Finish(outcome Outcome, latency time.Duration, bootID string) {
+	s, l := g.service, g.leaf
+	now := s.lock()
+	defer func() { s.unlock(now) }()
+	if g.state != granted && g.state != sent {
+		return
+	}
+	if outcome == Lost && g.state == sent && now.Before(g.until) {
+		s.hold(g, g.until)
+		return
+	}
+	alone := s.alone
+	s.end(g)
+	if outcome == Answered && bootID != g.bootID {
+		s.showBoot(l, bootID)
+	}
+	if l.connected && l.epoch == g.epoch {
+		s.adjust(l, outcome, latency)
+	}
+	if s.alone < alone {
+		s.fillAll() // another leaf may be reserved now
+		return
+	}
+	s.fill(l)
+}
+
+func (s *Service) adjust(l *leafState, outcome Outcome, latency time.Duration) {
+	switch outcome {
+	case Answered:
+		if l.ramp.answered(latency, s.opt.Typical(), s.opt.Limits) {
+			s.opt.Changed(l.vm, TurnedWarm)
+		}
+	case Ended:
+		l.ramp.rose(latency, s.opt.Limits)
+	case Refused:
+		l.ramp.reduce(s.opt.ColdSlots)
+	}
+}
+
+// hold keeps a slot in use until the given time.
+func (s *Service) hold(g *Grant, until time.Time) {
+	g.state, g.until = held, until
+	s.holdDue = earliest(s.holdDue, until)
+}
+
+func (s *Service) expireHolds(now time.Time) {
+	s.holdDue = time.Time{}
+	for _, l := range slices.Clone(s.order) { // end may drop a leaf
+		for i := len(l.grants) - 1; i >= 0; i-- {
+			g := l.grants[i]
+			if g.state != held {
+				continue
+			}
+			if now.Before(g.until) {
+				s.holdDue = earliest(s.holdDue, g.until)
+				continue
+			}
+			s.end(g)
+		}
+	}
+}
+
+// revoke ends the grants that were not sent.
+func (s *Service) revoke(l *leafState) {
+	s.endWhere(l, func(g *Grant) bool { return g.state == granted })
+}
+
+func (s *Service) endWhere(l *leafState, match func(*Grant) bool) {
+	for i := len(l.grants) - 1; i >= 0; i-- {
+		if g := l.grants[i]; match(g) {
+			s.end(g)
+		}
+	}
+}
+
+func (s *Service) end(g *Grant) {
+	g.state = ended
+	g.leaf.remove(g)
+	if g.alone {
+		g.leaf.runsAlone = false
+		s.alone--
+	}
+	s.dropForgotten(g.leaf)
+}
+
+func (s *Service) dropForgotten(l *leafState) {
+	if l.forgotten && len(l.grants) == 0 {
+		s.dropLeaf(l)
+	}
+}
--- /dev/null
+++ b/internal/slots/queue.go
@@ -0,0 +1,94 @@
+package slots
+
+import (
+	"errors"
+	"slices"
+
+	"cyclamenstream/api/config"
+)
+
+// Errors of Acquire. In all cases nothing was granted.
+var (
+	// ErrClosed says that this node does not own the service.
+	ErrClosed = errors.New("service is not owned")
+	// ErrNoReplica says that no connected leaf may serve the request.
+	ErrNoReplica = errors.New("no leaf may serve the request")
+	// ErrNoSlot says that no slot is free for a request that does not wait.
+	ErrNoSlot = errors.New("no slot is free")
+	// ErrQueueFull says that the request was dropped for others with higher priority or an earlier deadline.
+	ErrQueueFull = errors.New("queue is full")
+	// ErrTooLate says that too little time was left for the service's typical latency.
+	ErrTooLate = errors.New("deadline cannot be met")
+	// ErrDeadline says that the deadline has passed.
+	ErrDeadline = errors.New("deadline has passed")
+)
+
+// Waiter is a request in the queue.
+type Waiter struct {
+	Request
+	deliver  func(*Grant, error)
+	sequence uint64     // order of arrival
+	reserved *leafState // the leaf that is kept for this request
+	done     bool
+}
+
+func (w *Waiter) compare(o *Waiter) int {
+	if c := w.Deadline.Compare(o.Deadline); c != 0 {
+		return c
+	}
+	if w.sequence < o.sequence {
+		return -1
+	}
+	if w.sequence > o.sequence {
+		return 1
+	}
+	return 0
+}
+
+// queue holds waiting requests by priority, and for each priority in order of deadline and arrival.
+type queue struct {
+	classes  [config.MaxPriority + 1][]*Waiter
+	size     int
+	sequence uint64
+}
+
+func (q *queue) push(w *Waiter) {
+	q.sequence++
+	w.sequence = q.sequence
+	class := &q.classes[w.Priority]
+	i, _ := slices.BinarySearchFunc(*class, w, (*Waiter).compare)
+	*class = slices.Insert(*class, i, w)
+	q.size++
+}
+
+func (q *queue) remove(w *Waiter) {
+	class := &q.classes[w.Priority]
+	i, _ := slices.BinarySearchFunc(*class, w, (*Waiter).compare)
+	*class = slices.Delete(*class, i, i+1)
+	q.size--
+}
+
+// head returns the first waiter, nil if there is none.
+func (q *queue) head() *Waiter { return q.next(func(*Waiter) bool { return true }) }
+
+// next returns the first waiter that matches, by priority and then deadline, or nil.
+func (q *queue) next(match func(*Waiter) bool) *Waiter {
+	for p := len(q.classes) - 1; p >= 0; p-- {
+		for _, w := range q.classes[p] {
+			if match(w) {
+				return w
+			}
+		}
+	}
+	return nil
+}
+
+// worst returns the waiter with the lowest priority and, among those, the latest deadline.
+func (q *queue) worst() *Waiter {
+	for _, class := range q.classes {
+		if len(class) > 0 {
+			return class[len(class)-1]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/slots/ramp.go
@@ -0,0 +1,66 @@
+package slots
+
+import "time"
+
+const (
+	// stepAnswers is the number of answers at normal latency after which a ramping leaf gets one more slot.
+	stepAnswers = 8
+	// normalFactor times the service's typical latency still counts as normal.
+	normalFactor = 3
+	// normalWeight is how much more an answer at normal latency counts than a slow one. A leaf that is always slower
+	// than the others therefore ramps up too, but eight times slower.
+	normalWeight = 8
+	// riseFactor times the leaf's mean latency in the step before is an abnormal rise.
+	riseFactor = 3
+	// riseAnswers is the number of abnormal answers in one step that reduces the limit: single stragglers do not.
+	riseAnswers = 3
+)
+
+// ramp is the limit of a leaf, which grows from ColdSlots to Slots.
+type ramp struct {
+	limit    int
+	progress int // weighted answers in this step
+	rises    int // abnormal answers in this step
+	answers  int
+	sum      time.Duration // of the latencies in this step
+	before   time.Duration // mean latency in the step before; 0 if unknown
+}
+
+// restart sets the limit and forgets what is known of latencies.
+func (r *ramp) restart(limit int) { *r = ramp{limit: limit} }
+
+// reduce takes one slot away, down to cold.
+func (r *ramp) reduce(cold int) { *r = ramp{limit: max(r.limit-1, cold), before: r.before} }
+
+// answered counts a successful answer and reports whether the limit has reached limits.Slots with it.
+func (r *ramp) answered(latency, typical time.Duration, limits Limits) bool {
+	if r.limit >= limits.Slots {
+		return false
+	}
+	if r.rose(latency, limits) {
+		return false
+	}
+	r.answers++
+	r.sum += latency
+	if typical > 0 && latency > normalFactor*typical {
+		r.progress++
+	} else {
+		r.progress += normalWeight
+	}
+	if r.progress < stepAnswers*normalWeight {
+		return false
+	}
+	*r = ramp{limit: r.limit + 1, before: r.sum / time.Duration(r.answers)}
+	return r.limit >= limits.Slots
+}
+
+// rose reports whether the latency of a ramping leaf has risen abnormally, and reduces the limit when that repeats.
+func (r *ramp) rose(latency time.Duration, limits Limits) bool {
+	if r.limit >= limits.Slots || r.before == 0 || latency <= riseFactor*r.before {
+		return false
+	}
+	if r.rises++; r.rises >= riseAnswers {
+		r.reduce(limits.ColdSlots)
+	}
+	return true
+}
--- /dev/null
+++ b/internal/slots/slots.go
@@ -0,0 +1,371 @@
+// Package slots decides who may send how much to which leaf of one service. It does no input or output: its owner
+// tells it of sessions, sends and answers, and it hands out grants.
+//
+// Each Service is one shard of state under its own lock. Slots that a leaf may still be working on stay in use until
+// the leaf has confirmed the end, the call's timeout plus backend.EndGrace has passed since the send, or the leaf shows
+// a new boot identifier.
+package slots
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"cyclamenstream/api/cluster"
+)
+
+// DefaultMaxQueue bounds the requests that wait for a service's slots: some seconds of work for three leaves with three
+// slots at 10 ms each.
+const DefaultMaxQueue = 1024
+
+// aloneShare bounds the leaves that are kept for requests that run alone: at most one in aloneShare, and at least one
+// leaf of a service.
+const aloneShare = 3
+
+// Limits are the concurrent calls that a leaf of the service bears.
+type Limits struct {
+	Slots     int
+	ColdSlots int
+}
+
+// Options are a Service's surroundings. Its functions are called with the service's lock held, so they must not block
+// or call back.
+type Options struct {
+	Limits
+	// Zone is the zone of this node; its leaves are preferred among equals.
+	Zone string
+	// MaxQueue bounds the waiting requests; 0 means DefaultMaxQueue.
+	MaxQueue int
+	Now      func() time.Time
+	// Typical returns the recent typical latency of a call, 0 if it is not known.
+	Typical func() time.Duration
+	// Wake asks for a call of Poll after d. A later call of Wake replaces the earlier one.
+	Wake func(d time.Duration)
+	// Changed is told of changes of a leaf's limit.
+	Changed func(vm string, change Change)
+}
+
+// Change is a change of a leaf's limit.
+type Change uint8
+
+// The changes of a leaf's limit.
+const (
+	// TurnedCold says that the limit was set to ColdSlots.
+	TurnedCold Change = iota
+	// TurnedWarm says that the limit has reached Slots.
+	TurnedWarm
+)
+
+// Service is the state of one service's slots. It is safe for concurrent use.
+type Service struct {
+	opt Options
+
+	mu         sync.Mutex
+	open       bool
+	usableFrom time.Time
+	started    bool // usableFrom has passed
+	leaves     map[string]*leafState
+	order      []*leafState // by VM, so that equal schedules give equal results
+	queue      queue
+	alone      int       // leaves that run a call alone or are reserved for one
+	holdDue    time.Time // the next time at which a held slot may be free; zero if none is held
+	wakeAt     time.Time // when Poll was asked for; zero if it was not
+}
+
+// NewService returns a closed service without leaves.
+func NewService(opt Options) *Service {
+	if opt.MaxQueue == 0 {
+		opt.MaxQueue = DefaultMaxQueue
+	}
+	return &Service{opt: opt, leaves: map[string]*leafState{}}
+}
+
+// lock locks the service and does what has become due. The caller unlocks with unlock.
+func (s *Service) lock() time.Time {
+	s.mu.Lock()
+	now := s.opt.Now()
+	fill := false
+	if !s.holdDue.IsZero() && !now.Before(s.holdDue) {
+		s.expireHolds(now)
+		fill = true
+	}
+	if s.open && !s.started && !now.Before(s.usableFrom) {
+		s.started = true
+		fill = true
+	}
+	if s.queue.size > 0 {
+		fill = s.dropLate(now) || fill
+	}
+	if fill {
+		s.fillAll()
+	}
+	return now
+}
+
+// unlock asks for a wake-up at the next due time and unlocks the service.
+func (s *Service) unlock(now time.Time) {
+	due := s.nextDue()
+	if !due.IsZero() && (s.wakeAt.IsZero() || due.Before(s.wakeAt)) {
+		s.wakeAt = due
+		s.opt.Wake(max(due.Sub(now), 0))
+	}
+	s.mu.Unlock()
+}
+
+func (s *Service) nextDue() time.Time {
+	due := s.holdDue
+	if s.queue.size == 0 {
+		return due
+	}
+	if !s.started {
+		due = earliest(due, s.usableFrom)
+	}
+	typical := s.opt.Typical()
+	for _, class := range s.queue.classes {
+		if len(class) > 0 {
+			due = earliest(due, class[0].Deadline.Add(-typical+1)) // 1 ns later, it cannot be met any more
+		}
+	}
+	return due
+}
+
+// earliest returns the earlier of two times, where a zero a means none.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// Poll frees slots whose holding time has passed and drops waiting requests that cannot be served in time.
+func (s *Service) Poll() {
+	now := s.lock()
+	s.wakeAt = time.Time{}
+	s.unlock(now)
+}
+
+// Open starts admission from usableFrom. Every leaf is unknown, and thus cold, but those of the handover. Slots that
+// are still in use from an earlier time of ownership stay in use.
+func (s *Service) Open(usableFrom time.Time, handover *cluster.Handover) {
+	now := s.lock()
+	defer func() { s.unlock(now) }()
+	s.open, s.usableFrom, s.started = true, usableFrom, !now.Before(usableFrom)
+	for _, l := range slices.Clone(s.order) {
+		l.handedOver = false
+		if len(l.grants) == 0 {
+			s.dropLeaf(l)
+		}
+	}
+	if handover == nil {
+		return
+	}
+	for _, given := range handover.Leaves {
+		l := s.leaf(given.VM)
+		l.bootID, l.handedOver = given.BootID, true
+		l.ramp.restart(min(max(given.Limit, s.opt.ColdSlots), s.opt.Slots))
+		for _, busy := range given.BusyFor {
+			g := &Grant{service: s, leaf: l, bootID: given.BootID, state: held}
+			l.add(g)
+			s.hold(g, now.Add(busy))
+		}
+	}
+}
+
+// Close ends admission: waiting requests fail with ErrClosed and grants that were not sent are revoked. It returns
+// the state of the slots for the next owner.
+func (s *Service) Close() cluster.Handover {
+	now := s.lock()
+	defer func() { s.unlock(now) }()
+	s.open, s.started = false, false
+	for w := s.queue.head(); w != nil; w = s.queue.head() {
+		s.drop(w, ErrClosed)
+	}
+	var state cluster.Handover
+	for _, l := range slices.Clone(s.order) { // revoke may drop a leaf
+		s.revoke(l)
+		state.Leaves = append(state.Leaves, cluster.LeafHandover{
+			VM: l.vm, BootID: l.bootID, Limit: s.handoverLimit(l), BusyFor: l.busyFor(now),
+		})
+		l.connected, l.epoch = false, l.epoch+1
+	}
+	return state
+}
+
+func (s *Service) handoverLimit(l *leafState) int {
+	if l.connected || l.handedOver {
+		return l.ramp.limit
+	}
+	return s.opt.ColdSlots
+}
+
+// SetLimits changes the limits. Leaves above them get no new work until enough calls have ended.
+func (s *Service) SetLimits(limits Limits) {
+	now := s.lock()
+	defer func() { s.unlock(now) }()
+	if s.opt.Limits == limits {
+		return
+	}
+	s.opt.Limits = limits
+	for _, l := range s.order {
+		l.ramp.limit = max(min(l.ramp.limit, limits.Slots), limits.ColdSlots)
+	}
+	s.fillAll()
+}
+
+// Connect says that a new session to a leaf is up, and which boot identifier the leaf shows on it. The leaf is cold
+// unless a handover has named it with the same boot identifier. The session is kept in each grant.
+func (s *Service) Connect(vm, zone, bootID string, session any) {
+	now := s.lock()
+	defer func() { s.unlock(now) }()
+	l := s.leaf(vm)
+	keep := l.handedOver && l.bootID == bootID
+	if l.bootID != "" && l.bootID != bootID {
+		s.endWhere(l, func(*Grant) bool { return true }) // they were sent to a process that is gone
+	}
+	l.zone, l.bootID, l.conn = zone, bootID, session
+	l.connected, l.draining, l.forgotten, l.handedOver = true, false, false, false
+	l.epoch++
+	if !keep {
+		s.turnCold(l)
+	}
+	s.fillAll()
+}
+
+// ShowBoot says which boot identifier a connected leaf has shown, asked for at the given epoch (see Epoch). Another
+// identifier than the known one makes the leaf cold.
+func (s *Service) ShowBoot(vm, bootID string, epoch uint64) {
+	now := s.lock()
+	defer func() { s.unlock(now) }()
+	if l := s.leaves[vm]; l != nil && l.epoch == epoch {
+		s.showBoot(l, bootID)
+		s.fillAll()
+	}
+}
+
+// Epoch returns a number that changes whenever the leaf's session or boot identifier changes.
+func (s *Service) Epoch(vm string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l := s.leaves[vm]; l != nil {
+		return l.epoch
+	}
+	return 0
+}
+
+// showBoot takes in a boot identifier that was shown on the present session. Slots of calls that were sent stay in use:
+// as the session goes on, the calls may do so too.
+func (s *Service) showBoot(l *leafState, bootID string) {
+	if !l.connected || bootID == l.bootID {
+		return
+	}
+	l.bootID = bootID
+	l.epoch++
+	s.revoke(l)
+	s.turnCold(l)
+}
+
+// SetDraining says whether the leaf wants no new work.
+func (s *Service) SetDraining(vm string, draining bool) {
+	now := s.lock()
+	defer func() { s.unlock(now) }()
+	if l := s.leaves[vm]; l != nil && l.draining != draining {
+		l.draining = draining
+		s.unreserve(l)
+		s.fillAll()
+	}
+}
+
+// Refresh says that the replicas of some shards have changed. Waiting requests that no replica can serve fail with
+// ErrNoReplica.
+func (s *Service) Refresh() {
+	now := s.lock()
+	defer func() { s.unlock(now) }()
+	for _, class := range s.queue.classes {
+		for _, w := range slices.Clone(class) {
+			if !w.hasReplica() {
+				s.drop(w, ErrNoReplica)
+			} else if w.reserved != nil && !w.mayUse(w.reserved.vm) {
+				s.unreserve(w.reserved)
+			}
+		}
+	}
+	s.fillAll()
+}
+
+// Disconnect says that the session to a leaf is lost or is being closed. The leaf gets no new work.
+func (s *Service) Disconnect(vm string) {
+	now := s.lock()
+	defer func() { s.unlock(now) }()
+	if l := s.leaves[vm]; l != nil && l.connected {
+		l.connected, l.conn = false, nil
+		l.epoch++
+		s.revoke(l)
+		s.unreserve(l)
+		s.fillAll()
+	}
+}
+
+// Forget drops a leaf without a session once none of its slots is in use.
+func (s *Service) Forget(vm string) {
+	now := s.lock()
+	defer func() { s.unlock(now) }()
+	if l := s.leaves[vm]; l != nil && !l.connected {
+		l.forgotten = true
+		s.dropForgotten(l)
+	}
+}
+
+// Stats are counts over a service.
+type Stats struct {
+	Waiting, InUse, Limit, Connected int
+}
+
+// Stats returns the present counts.
+func (s *Service) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := Stats{Waiting: s.queue.size}
+	for _, l := range s.order {
+		st.InUse += len(l.grants)
+		if l.connected {
+			st.Connected++
+			st.Limit += l.ramp.limit
+		}
+	}
+	return st
+}
+
+// LeafStats returns the slots in use and the limit of a leaf; zeros for an unknown one.
+func (s *Service) LeafStats(vm string) (inUse, limit int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l := s.leaves[vm]; l != nil {
+		return len(l.grants), l.ramp.limit
+	}
+	return 0, 0
+}
+
+func (s *Service) leaf(vm string) *leafState {
+	l := s.leaves[vm]
+	if l == nil {
+		l = &leafState{vm: vm}
+		l.ramp.restart(s.opt.ColdSlots)
+		s.leaves[vm] = l
+		i, _ := slices.BinarySearchFunc(s.order, vm, (*leafState).compareVM)
+		s.order = slices.Insert(s.order, i, l)
+	}
+	return l
+}
+
+func (s *Service) dropLeaf(l *leafState) {
+	delete(s.leaves, l.vm)
+	i, _ := slices.BinarySearchFunc(s.order, l.vm, (*leafState).compareVM)
+	s.order = slices.Delete(s.order, i, i+1)
+}
+
+func (s *Service) turnCold(l *leafState) {
+	l.ramp.restart(s.opt.ColdSlots)
+	s.opt.Changed(l.vm, TurnedCold)
+}
+
+func (s *Service) maxAlone() int { return max(1, len(s.leaves)/aloneShare) }
