Add the sessions to the leaves of owned services

Cause: a node that owns a service has to keep one session for each leaf and to send only while ownership, freshness and the list of VMs allow it.

Before: leaf.Pool and cluster.HandoverSource had no implementation. Slot.Do checks ownership, freshness and the leaf after everything else and right before the send. It returns when its context ends, while the slot stays in use until the session's Do returns; a call that the session has not sent yet then counts as sent, so that the verdict cannot be "not run" for a call that is sent later.

The tests run under synctest with leaves that count their own calls: a leaf that turns cold or restarts under full load, sessions lost while calls go on, ownership lost and regained, cancelled hedges. They fail when a lost or cancelled call frees its slot at once, when a reconnected leaf keeps its limit, when a boot identifier in a reply is ignored, and when an early return leaves the attempt as not sent.

--- /dev/null
+++ b/internal/leafset/leafset.go
@@ -0,0 +1,298 @@
+// Package leafset keeps the sessions to the leaves of the services that this node owns and gives out their slots. It
+// implements leaf.Pool and cluster.HandoverSource.
+package leafset
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"cyclamenstream/api/backend"
+	"cyclamenstream/api/cluster"
+	"cyclamenstream/api/config"
+	"cyclamenstream/api/event"
+	"cyclamenstream/api/leaf"
+	"cyclamenstream/api/verdict"
+	"cyclamenstream/internal/slots"
+)
+
+const (
+	// crashBuffer bounds the reports that wait for a reader.
+	crashBuffer = 256
+	// maxDials bounds the connections that are opened at the same time, so that a node that takes over many services
+	// does not spend its time on handshakes.
+	maxDials = 32
+	// reconcileEvery bounds the delay of a change whose notification was missed, and of the gauges.
+	reconcileEvery = time.Second
+)
+
+// Deps are what a Set needs.
+type Deps struct {
+	Dialer     backend.Dialer
+	Membership cluster.Membership
+	Ownership  cluster.Ownership
+	Config     config.Source
+	Recorder   event.Recorder
+	Scope      tally.Scope
+}
+
+// Set gives out the slots of the owned services' leaves. It is safe for concurrent use.
+type Set struct {
+	deps    Deps
+	counts  counters
+	dials   chan struct{}
+	poke    chan struct{}
+	crashMu sync.Mutex // makes "drop the oldest, add the newest" one step
+	crashes chan leaf.Crash
+
+	mu       sync.RWMutex
+	services map[string]*service
+	stopped  bool
+
+	soft, hard         context.Context // soft ends admission, hard ends the wait for running calls
+	softStop, hardStop context.CancelFunc
+	workers            sync.WaitGroup
+}
+
+type counters struct {
+	sends, answers, refused, lost, mismatched, checkFailed, crashes, crashesDropped tally.Counter
+}
+
+var (
+	_ leaf.Pool              = (*Set)(nil)
+	_ cluster.HandoverSource = (*Set)(nil)
+)
+
+// New returns a set that does nothing before Start.
+func New(deps Deps) *Set {
+	scope := deps.Scope.SubScope("leafset")
+	s := &Set{
+		deps: deps,
+		counts: counters{
+			sends:          scope.Counter("sends"),
+			answers:        scope.Counter("answers"),
+			refused:        scope.Counter("refused"),
+			lost:           scope.Counter("calls_lost"),
+			mismatched:     scope.Counter("answers_mismatched"),
+			checkFailed:    scope.Counter("checks_failed"),
+			crashes:        scope.Counter("crashes"),
+			crashesDropped: scope.Counter("crashes_dropped"),
+		},
+		dials:    make(chan struct{}, maxDials),
+		poke:     make(chan struct{}, 1),
+		crashes:  make(chan leaf.Crash, crashBuffer),
+		services: map[string]*service{},
+	}
+	s.soft, s.softStop = context.WithCancel(context.Background())
+	s.hard, s.hardStop = context.WithCancel(context.Background())
+	return s
+}
+
+// Start begins to keep the sessions of owned services. It returns at once.
+func (s *Set) Start(context.Context) error {
+	s.workers.Go(s.run)
+	return nil
+}
+
+// Stop ends admission, waits for the running calls to end and closes the sessions. When ctx ends first, it closes them
+// at once and returns ctx's error.
+func (s *Set) Stop(ctx context.Context) error {
+	s.mu.Lock()
+	s.stopped = true
+	services := make([]*service, 0, len(s.services))
+	for _, svc := range s.services {
+		services = append(services, svc)
+	}
+	s.mu.Unlock()
+	s.softStop()
+	for _, svc := range services {
+		svc.close()
+	}
+	done := make(chan struct{})
+	go func() { s.workers.Wait(); close(done) }()
+	defer s.hardStop()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		s.hardStop()
+		<-done
+		return ctx.Err()
+	}
+}
+
+func (s *Set) run() {
+	ticker := time.NewTicker(reconcileEvery)
+	defer ticker.Stop()
+	for {
+		members, document := s.deps.Membership.Changed(), s.deps.Config.Changed()
+		owned, ownership := s.deps.Ownership.Owned()
+		s.reconcile(owned)
+		select {
+		case <-s.soft.Done():
+			return
+		case <-members:
+		case <-document:
+		case <-ownership:
+		case <-s.poke:
+		case <-ticker.C:
+		}
+	}
+}
+
+// reconcile opens and closes services and their sessions as ownership, configuration and the list of leaves ask.
+func (s *Set) reconcile(owned []cluster.OwnedService) {
+	document := s.deps.Config.Current()
+	wanted := map[string]bool{}
+	for _, o := range owned {
+		if document == nil {
+			break
+		}
+		if cfg, ok := document.Services[o.Service]; ok {
+			wanted[o.Service] = true
+			if svc := s.service(o.Service); svc != nil {
+				svc.update(o, slots.Limits{Slots: cfg.Slots, ColdSlots: cfg.ColdSlots})
+			}
+		}
+	}
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for name, svc := range s.services {
+		if !wanted[name] {
+			svc.lose()
+		}
+		svc.report()
+	}
+}
+
+// service returns the state of a service, which is kept for good once it was owned: calls of an earlier time of
+// ownership may still run. It returns nil after Stop.
+func (s *Set) service(name string) *service {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopped {
+		return nil
+	}
+	svc := s.services[name]
+	if svc == nil {
+		svc = newService(s, name)
+		s.services[name] = svc
+	}
+	return svc
+}
+
+func (s *Set) find(name string) *service {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.services[name]
+}
+
+func (s *Set) wake() {
+	select {
+	case s.poke <- struct{}{}:
+	default:
+	}
+}
+
+// Snapshots returns the known snapshots of an owned service, newest first. The caller must not change them.
+func (s *Set) Snapshots(name string) []leaf.Snapshot {
+	if svc := s.find(name); svc != nil {
+		return svc.view.Load().snapshots
+	}
+	return nil
+}
+
+// Crashes returns the channel on which lost leaves are reported.
+func (s *Set) Crashes() <-chan leaf.Crash { return s.crashes }
+
+func (s *Set) reportCrash(crash leaf.Crash) {
+	s.counts.crashes.Inc(1)
+	s.crashMu.Lock()
+	defer s.crashMu.Unlock()
+	for {
+		select {
+		case s.crashes <- crash:
+			return
+		default:
+		}
+		select {
+		case <-s.crashes:
+			s.counts.crashesDropped.Inc(1)
+		default:
+		}
+	}
+}
+
+// Release stops new sends to the service's leaves and returns the state of its slots. The service gets no work again
+// before this node has taken ownership anew.
+func (s *Set) Release(name string) cluster.Handover {
+	svc := s.find(name)
+	if svc == nil {
+		return cluster.Handover{Service: name}
+	}
+	return svc.close()
+}
+
+type result struct {
+	grant *slots.Grant
+	err   error
+}
+
+// Acquire waits for a slot on a leaf that holds the shard at the snapshot. Its errors have verdict "not run":
+// CodeNoOwner, CodeSnapshotGone when no leaf holds the snapshot, CodeNoSnapshot when no connected leaf holds the shard,
+// CodeOverloaded, and CodeDeadline, also when ctx ends.
+func (s *Set) Acquire(ctx context.Context, need leaf.Need) (leaf.Slot, error) {
+	svc := s.find(need.Service)
+	if svc == nil {
+		return nil, verdict.Refusef(verdict.CodeNoOwner, "this node does not own service %q", need.Service)
+	}
+	ready := make(chan result, 1)
+	grant, waiter, err := svc.slots.Acquire(slots.Request{
+		Replicas:  func() []leaf.Replica { return svc.view.Load().replicas(need.Snapshot, need.Shard) },
+		Exclude:   need.Exclude,
+		Priority:  need.Priority,
+		Deadline:  need.Deadline,
+		Immediate: need.Immediate,
+		Alone:     need.Alone,
+	}, func(g *slots.Grant, err error) { ready <- result{g, err} })
+	if waiter != nil {
+		grant, err = svc.wait(ctx, waiter, ready)
+	}
+	if err != nil {
+		return nil, svc.acquireError(need, err)
+	}
+	return &slot{service: svc, grant: grant, conn: grant.Session().(*conn)}, nil
+}
+
+func (svc *service) wait(ctx context.Context, w *slots.Waiter, ready <-chan result) (*slots.Grant, error) {
+	select {
+	case r := <-ready:
+		return r.grant, r.err
+	case <-ctx.Done():
+	}
+	if !svc.slots.Cancel(w) {
+		if r := <-ready; r.grant != nil {
+			r.grant.Finish(slots.NotSent, 0, "")
+		}
+	}
+	return nil, ctx.Err()
+}
+
+func (svc *service) acquireError(need leaf.Need, err error) error {
+	code := verdict.CodeOverloaded
+	switch {
+	case errors.Is(err, slots.ErrClosed):
+		code = verdict.CodeNoOwner
+	case errors.Is(err, slots.ErrNoReplica):
+		code = verdict.CodeNoSnapshot
+		if !svc.view.Load().has(need.Snapshot) {
+			code = verdict.CodeSnapshotGone
+		}
+	case errors.Is(err, slots.ErrDeadline), errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+		code = verdict.CodeDeadline
+	}
+	return verdict.Refusef(code, "service %q, snapshot %q, shard %d: %v", need.Service, need.Snapshot, need.Shard, err)
+}
--- /dev/null
+++ b/internal/leafset/leafset_test.go
@@ -0,0 +1,225 @@
+package leafset
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cyclamenstream/api/backend"
+	"cyclamenstream/api/cluster"
+	"cyclamenstream/api/event"
+	"cyclamenstream/api/verdict"
+)
+
+// Guards against leaves that get more calls than their ramp allows when they turn cold or restart under full load, when
+// a session is lost while its calls go on, when ownership is lost and regained, and when hedges are cancelled. The
+// leaves count their own calls.
+func TestNoOverload(t *testing.T) {
+	never := func(int) time.Duration { return 0 }
+	tests := []struct {
+		name   string
+		cancel func(int) time.Duration
+		fault  func(w *world)
+	}{
+		{"steady", never, func(*world) {}},
+		{"turns cold on its session", never, func(w *world) { w.leaves[0].turnCold() }},
+		{"restarts", never, func(w *world) { w.leaves[0].drop(true) }},
+		{"session lost, calls go on", never, func(w *world) {
+			w.leaves[0].change(func(l *fakeLeaf) { l.work = 150 * time.Millisecond })
+			time.Sleep(50 * time.Millisecond)
+			w.leaves[0].drop(false)
+		}},
+		{"all sessions lost twice", never, func(w *world) {
+			for range 2 {
+				for _, l := range w.leaves {
+					l.drop(false)
+				}
+				time.Sleep(70 * time.Millisecond)
+			}
+		}},
+		{"ownership lost and regained", never, func(w *world) {
+			owned := w.owned
+			w.change(func() { w.owned = nil })
+			time.Sleep(5 * time.Millisecond)
+			w.change(func() { w.owned = owned })
+		}},
+		{"cancelled hedges", func(i int) time.Duration {
+			return time.Duration(i%3) * 5 * time.Millisecond
+		}, func(*world) {}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 3)
+				for _, l := range w.leaves {
+					l.change(func(l *fakeLeaf) { l.stopTime = 30 * time.Millisecond })
+				}
+				stop := make(chan struct{})
+				callers := w.load(24, stop, test.cancel)
+				time.Sleep(2100 * time.Millisecond) // between two status calls
+				test.fault(w)
+				time.Sleep(3 * time.Second)
+				close(stop)
+				callers.Wait()
+				w.stop()
+				for _, l := range w.leaves {
+					arrived, _, most, overload := l.counts()
+					qt.Check(t, overload[:min(3, len(overload))], qt.HasLen, 0)
+					qt.Check(t, most, qt.Equals, 3) // the ramp ends
+					qt.Check(t, arrived > 300, qt.IsTrue, qt.Commentf("%d calls", arrived))
+				}
+			})
+		})
+	}
+}
+
+// Guards against sends after a failed check, slots that such a send loses, and a wrong verdict.
+func TestDoChecks(t *testing.T) {
+	tests := []struct {
+		name    string
+		before  func(*world) // between Acquire and Do
+		timeout time.Duration
+		code    verdict.Code
+	}{
+		{"ownership lost", func(w *world) { w.quietly(func() { w.owned = nil }) }, time.Second, verdict.CodeNoOwner},
+		{"stale", func(w *world) { w.quietly(func() { w.stale = true }) }, time.Second, verdict.CodeStale},
+		{"leaf out", func(w *world) { w.quietly(func() { w.out["leaf0"] = true }) }, time.Second, verdict.CodeOut},
+		{"session lost", func(w *world) { w.leaves[0].drop(false); synctest.Wait() }, time.Second, verdict.CodeSessionLost},
+		{"timeout too long", func(*world) {}, 3 * time.Second, verdict.CodeInvalid},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				w := newWorld(t, 1)
+				defer w.stop()
+				time.Sleep(time.Second)
+				slot, err := w.acquire(t.Context())
+				c.Assert(err, qt.IsNil)
+				test.before(w)
+				_, err = slot.Do(t.Context(), newCall(test.timeout))
+				c.Assert(verdict.CodeOf(err), qt.Equals, test.code)
+				c.Assert(verdict.Of(err).IsNotRun(), qt.IsTrue)
+				arrived, _, _, _ := w.leaves[0].counts()
+				c.Assert(arrived, qt.Equals, 0)
+				c.Assert(w.set.find("svc").slots.Stats().InUse, qt.Equals, 0)
+			})
+		})
+	}
+}
+
+// Guards against a cancelled call whose slot is free before the leaf has ended it, and that is reported as not run.
+func TestEarlyReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		w := newWorld(t, 1)
+		defer w.stop()
+		w.leaves[0].change(func(l *fakeLeaf) { l.stopTime, l.sendDelay = 50*time.Millisecond, 5*time.Millisecond })
+		time.Sleep(time.Second)
+		slot, err := w.acquire(t.Context())
+		c.Assert(err, qt.IsNil)
+		ctx, cancel := context.WithCancel(t.Context())
+		cancelAt := time.AfterFunc(time.Millisecond, cancel) // before the session sends the call
+		defer cancelAt.Stop()
+		_, err = slot.Do(ctx, newCall(time.Second))
+		c.Assert(verdict.Of(err), qt.Equals, verdict.MayHaveRun())
+		c.Assert(verdict.CodeOf(err), qt.Equals, verdict.CodeDeadline)
+		slot.Release()
+		c.Assert(w.set.find("svc").slots.Stats().InUse, qt.Equals, 1)
+		time.Sleep(100 * time.Millisecond)
+		c.Assert(w.set.find("svc").slots.Stats().InUse, qt.Equals, 0)
+	})
+}
+
+// Guards against connections and work for leaves that are out or draining, or of a service that is not owned or was
+// released; and a service that gets no work after it was taken over again.
+func TestNoWorkWhenOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		w := newWorld(t, 2)
+		defer w.stop()
+		time.Sleep(time.Second)
+		c.Assert(w.set.Snapshots("svc")[0].Replicas[0], qt.HasLen, 2)
+		w.change(func() { w.out["leaf0"] = true })
+		w.leaves[0].drop(true)
+		time.Sleep(time.Second)
+		c.Assert(w.set.Snapshots("svc")[0].Replicas[0], qt.HasLen, 1)
+		w.leaves[1].change(func(l *fakeLeaf) { l.draining = true })
+		time.Sleep(time.Second)
+		_, err := w.acquire(t.Context())
+		c.Assert(verdict.CodeOf(err), qt.Equals, verdict.CodeSnapshotGone)
+		_, dials, _, _ := w.leaves[0].counts()
+		c.Assert(dials, qt.Equals, 1)
+		w.change(func() { w.out = map[string]bool{} })
+		time.Sleep(2 * time.Second)
+		_, dials, _, _ = w.leaves[0].counts()
+		c.Assert(dials, qt.Equals, 2)
+		w.set.Release("svc")
+		time.Sleep(2 * time.Second)
+		_, err = w.acquire(t.Context())
+		c.Assert(verdict.CodeOf(err), qt.Equals, verdict.CodeNoOwner)
+		_, dials, _, _ = w.leaves[0].counts()
+		c.Assert(dials, qt.Equals, 2)
+		w.change(func() { w.owned = []cluster.OwnedService{{Service: "svc", Handover: &cluster.Handover{}}} })
+		time.Sleep(2 * time.Second)
+		_, err = w.acquire(t.Context())
+		c.Assert(err, qt.IsNil)
+	})
+}
+
+// Guards against a handover that loses the limits or the calls under way, and a crash that is reported without them.
+func TestHandoverAndCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		w := newWorld(t, 1)
+		l := w.leaves[0]
+		stop := make(chan struct{})
+		callers := w.load(4, stop, func(int) time.Duration { return 0 })
+		time.Sleep(2 * time.Second)
+		close(stop)
+		callers.Wait()
+		l.change(func(l *fakeLeaf) { l.work = 300 * time.Millisecond })
+		slot, err := w.acquire(t.Context())
+		c.Assert(err, qt.IsNil)
+		call := newCall(500 * time.Millisecond)
+		go func() { _, _ = slot.Do(context.Background(), call) }()
+		time.Sleep(100 * time.Millisecond)
+		h := w.set.Release("svc")
+		c.Assert(h, qt.DeepEquals, cluster.Handover{Service: "svc", Leaves: []cluster.LeafHandover{{
+			VM: "leaf0", BootID: "leaf0/0", Limit: 3, BusyFor: []time.Duration{400*time.Millisecond + backend.EndGrace},
+		}}})
+		w.stop()
+
+		next := newWorld(t, 0)
+		defer time.Sleep(time.Second) // the leaf's own part of the lost call ends
+		defer next.stop()
+		next.change(func() {
+			next.leaves = w.leaves
+			next.owned = []cluster.OwnedService{{Service: "svc", Handover: &h}}
+		})
+		time.Sleep(100 * time.Millisecond)
+		inUse, limit := next.set.find("svc").slots.LeafStats("leaf0")
+		c.Assert([]int{inUse, limit}, qt.DeepEquals, []int{1, 3})
+		slot, err = next.acquire(t.Context())
+		c.Assert(err, qt.IsNil)
+		call = newCall(500 * time.Millisecond)
+		lost := make(chan error, 1)
+		go func() { _, err := slot.Do(context.Background(), call); lost <- err }()
+		time.Sleep(10 * time.Millisecond)
+		l.drop(true)
+		err = <-lost
+		c.Assert(verdict.CodeOf(err), qt.Equals, verdict.CodeSessionLost)
+		c.Assert(verdict.Of(err), qt.Equals, verdict.MayHaveRun())
+		crash := <-next.set.Crashes()
+		c.Assert(crash.Running, qt.DeepEquals, []string{call.ID})
+		time.Sleep(100 * time.Millisecond)
+		inUse, limit = next.set.find("svc").slots.LeafStats("leaf0")
+		c.Assert([]int{inUse, limit}, qt.DeepEquals, []int{0, 1})
+		next.mu.Lock()
+		defer next.mu.Unlock()
+		c.Assert(next.events[len(next.events)-3:], qt.DeepEquals, []event.Kind{event.LeafConnected, event.SnapshotSeen, event.LeafCold})
+	})
+}
--- /dev/null
+++ b/internal/leafset/service.go
@@ -0,0 +1,160 @@
+package leafset
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"cyclamenstream/api/cluster"
+	"cyclamenstream/api/event"
+	"cyclamenstream/api/platform"
+	"cyclamenstream/internal/latency"
+	"cyclamenstream/internal/slots"
+)
+
+// service is the state of one service that this node owns or has owned.
+type service struct {
+	set     *Set
+	name    string
+	slots   *slots.Service
+	latency *latency.Sliding
+	view    atomic.Pointer[view]
+	gauges  gauges
+
+	mu      sync.Mutex
+	tenure  cluster.OwnedService // what the slots were last opened with
+	open    bool
+	workers map[string]*worker // by VM; a stopped worker stays until its session is closed
+	reports map[string]report  // by VM, of connected leaves
+}
+
+type gauges struct{ waiting, inUse, limit, connected tally.Gauge }
+
+func newService(set *Set, name string) *service {
+	scope := set.deps.Scope.SubScope("leafset").Tagged(map[string]string{"service": name})
+	svc := &service{
+		set:     set,
+		name:    name,
+		latency: latency.New(time.Now),
+		workers: map[string]*worker{},
+		reports: map[string]report{},
+		gauges:  gauges{scope.Gauge("waiting"), scope.Gauge("slots_in_use"), scope.Gauge("slots"), scope.Gauge("leaves")},
+	}
+	svc.view.Store(&view{})
+	timer := time.AfterFunc(time.Hour, func() { svc.slots.Poll() })
+	timer.Stop()
+	svc.slots = slots.NewService(slots.Options{
+		Zone:    set.deps.Membership.Self().Zone,
+		Now:     time.Now,
+		Typical: func() time.Duration { return svc.latency.Estimate().P50 },
+		Wake:    func(d time.Duration) { timer.Reset(d) },
+		Changed: svc.limitChanged,
+	})
+	return svc
+}
+
+func (svc *service) limitChanged(vm string, change slots.Change) {
+	kind := event.LeafCold
+	if change == slots.TurnedWarm {
+		kind = event.LeafWarm
+	}
+	svc.record(kind, vm, "")
+}
+
+func (svc *service) record(kind event.Kind, vm, detail string) {
+	svc.set.deps.Recorder.Record(event.Event{Kind: kind, VM: vm, Service: svc.name, Detail: detail})
+}
+
+func (svc *service) report() {
+	st := svc.slots.Stats()
+	svc.gauges.waiting.Update(float64(st.Waiting))
+	svc.gauges.inUse.Update(float64(st.InUse))
+	svc.gauges.limit.Update(float64(st.Limit))
+	svc.gauges.connected.Update(float64(st.Connected))
+}
+
+// newTenure reports whether o is another time of ownership than the last one: a lapse without a handover shows as a
+// later UsableFrom that has not come yet, one with a handover as another Handover.
+func (svc *service) newTenure(o cluster.OwnedService, now time.Time) bool {
+	if o.Handover != nil && o.Handover != svc.tenure.Handover {
+		return true
+	}
+	return o.UsableFrom.After(svc.tenure.UsableFrom) && o.UsableFrom.After(now)
+}
+
+// update opens the service in a new time of ownership and starts and stops workers as the list of leaves asks.
+func (svc *service) update(o cluster.OwnedService, limits slots.Limits) {
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	first := svc.tenure.Service == ""
+	if first || svc.newTenure(o, time.Now()) {
+		svc.closeLocked()
+		svc.slots.SetLimits(limits)
+		svc.slots.Open(o.UsableFrom, o.Handover)
+		svc.open, svc.tenure = true, o
+	}
+	if !svc.open {
+		return // released, and not owned anew
+	}
+	svc.slots.SetLimits(limits)
+	leaves := map[string]platform.VM{}
+	for _, vm := range svc.set.deps.Membership.Leaves(svc.name) {
+		leaves[vm.ID] = vm
+	}
+	for id, w := range svc.workers {
+		if vm, ok := leaves[id]; !ok || vm.Address != w.vm.Address {
+			w.cancel()
+		}
+	}
+	for id, vm := range leaves {
+		if svc.workers[id] == nil {
+			svc.startWorker(vm)
+		}
+	}
+}
+
+func (svc *service) startWorker(vm platform.VM) {
+	ctx, cancel := context.WithCancel(svc.set.soft)
+	w := &worker{service: svc, vm: vm, cancel: cancel}
+	svc.workers[vm.ID] = w
+	svc.set.workers.Go(func() {
+		w.run(ctx)
+		cancel()
+		svc.slots.Forget(vm.ID)
+		svc.mu.Lock()
+		delete(svc.workers, vm.ID)
+		svc.mu.Unlock()
+		svc.set.wake()
+	})
+}
+
+// close ends admission and lets the workers close their sessions once their calls have ended.
+func (svc *service) close() cluster.Handover {
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	return svc.closeLocked()
+}
+
+// lose closes the service after ownership has ended, so that the next time of ownership opens it.
+func (svc *service) lose() {
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	svc.closeLocked()
+	svc.tenure = cluster.OwnedService{}
+}
+
+func (svc *service) closeLocked() cluster.Handover {
+	if !svc.open {
+		return cluster.Handover{Service: svc.name}
+	}
+	svc.open = false
+	handover := svc.slots.Close()
+	handover.Service = svc.name
+	for _, w := range svc.workers {
+		w.cancel()
+	}
+	return handover
+}
--- /dev/null
+++ b/internal/leafset/slot.go
@@ -0,0 +1,160 @@
+package leafset
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"cyclamenstream/api/backend"
+	"cyclamenstream/api/config"
+	"cyclamenstream/api/verdict"
+	"cyclamenstream/internal/slots"
+)
+
+var errUsed = errors.New("slot was used before")
+
+// slot is the right to one call on a leaf.
+type slot struct {
+	service *service
+	grant   *slots.Grant
+	conn    *conn
+	used    atomic.Bool
+}
+
+func (s *slot) VM() string               { return s.grant.VM() }
+func (s *slot) BootID() string           { return s.grant.BootID() }
+func (s *slot) Latency95() time.Duration { return s.service.latency.Estimate().P95 }
+
+// Release gives an unused slot back.
+func (s *slot) Release() {
+	if s.used.CompareAndSwap(false, true) {
+		s.grant.Finish(slots.NotSent, 0, "")
+	}
+}
+
+type answer struct {
+	reply backend.Reply
+	err   error
+}
+
+// Do checks that the call may be sent and sends it. Its errors carry the verdict of the call's attempt.
+func (s *slot) Do(ctx context.Context, call backend.Call) (backend.Reply, error) {
+	if !s.used.CompareAndSwap(false, true) {
+		return backend.Reply{}, verdict.Failf(call.Attempt, verdict.CodeInternal, errUsed, "call %q", call.ID)
+	}
+	s.conn.begin(call.ID)
+	if err := s.check(ctx, call); err != nil {
+		s.grant.Finish(slots.NotSent, 0, "")
+		s.conn.end(call.ID, false)
+		return backend.Reply{}, err
+	}
+	s.service.set.counts.sends.Inc(1)
+	done := make(chan answer, 1)
+	go func() {
+		reply, err := s.send(ctx, call)
+		done <- answer{reply, err}
+	}()
+	select {
+	case a := <-done:
+		return a.reply, a.err
+	case <-ctx.Done():
+	}
+	select {
+	case a := <-done:
+		return a.reply, a.err
+	default:
+	}
+	call.Attempt.Begin() // the session may still send the call, so that it counts as sent
+	return backend.Reply{}, verdict.Failf(call.Attempt, verdict.CodeDeadline, ctx.Err(), "call %q to %s", call.ID, s.VM())
+}
+
+// check returns an error when the call must not be sent. The checks of ownership, freshness and the leaf come last,
+// immediately before the send.
+func (s *slot) check(ctx context.Context, call backend.Call) error {
+	fail := func(code verdict.Code, cause error, text string) error {
+		s.service.set.counts.checkFailed.Inc(1)
+		return verdict.Failf(call.Attempt, code, cause, "call %q to %s: %s", call.ID, s.VM(), text)
+	}
+	if call.Timeout <= 0 || call.Timeout > config.MaxLeafTimeout {
+		return fail(verdict.CodeInvalid, nil, "timeout "+call.Timeout.String()+" is not in (0, "+
+			config.MaxLeafTimeout.String()+"]")
+	}
+	if err := ctx.Err(); err != nil {
+		return fail(verdict.CodeDeadline, err, "not sent")
+	}
+	if !s.grant.Send(call.Timeout) {
+		return fail(verdict.CodeSessionLost, nil, "the leaf's session or process has changed")
+	}
+	deps := s.service.set.deps
+	if err := deps.Ownership.CheckOwned(s.service.name); err != nil {
+		return fail(verdict.CodeNoOwner, err, "not owned")
+	}
+	if err := deps.Membership.CheckFresh(); err != nil {
+		return fail(verdict.CodeStale, err, "not fresh")
+	}
+	if !deps.Membership.LeafAllowed(s.conn.vm) {
+		return fail(verdict.CodeOut, nil, "the leaf is out of service")
+	}
+	return nil
+}
+
+// send runs the call to its end, which may be after Do has returned, and gives the slot back.
+func (s *slot) send(ctx context.Context, call backend.Call) (backend.Reply, error) {
+	start := time.Now()
+	reply, err := s.conn.session.Do(ctx, call)
+	took := time.Since(start)
+	if err == nil && (reply.ID != call.ID || reply.Snapshot != call.Snapshot || reply.Shard != call.Shard) {
+		err = backend.ErrMismatch
+	}
+	outcome, code := classify(err, call.Attempt)
+	if outcome == slots.Answered || errors.Is(err, backend.ErrStopped) && took > s.Latency95() {
+		s.service.latency.Record(took) // a stopped call would have taken at least as long
+	}
+	s.count(outcome, err)
+	s.grant.Finish(outcome, took, reply.BootID)
+	s.conn.end(call.ID, outcome == slots.Lost)
+	switch {
+	case errors.Is(err, backend.ErrMismatch): // the attempt may show the answer of another call
+		return backend.Reply{}, verdict.WithVerdict(verdict.MayHaveRun(), code, "call %q to %s: %v", call.ID, s.VM(), err)
+	case err != nil:
+		return backend.Reply{}, verdict.Failf(call.Attempt, code, err, "call %q to %s", call.ID, s.VM())
+	}
+	return reply, nil
+}
+
+func (s *slot) count(outcome slots.Outcome, err error) {
+	counts := &s.service.set.counts
+	switch outcome {
+	case slots.Answered:
+		counts.answers.Inc(1)
+	case slots.Refused:
+		counts.refused.Inc(1)
+	case slots.Lost:
+		counts.lost.Inc(1)
+	}
+	if errors.Is(err, backend.ErrMismatch) {
+		counts.mismatched.Inc(1)
+	}
+}
+
+// classify says what the end of a session's Do means for the slot, and its code for callers. Whatever is not known to
+// end the call on the leaf leaves it running until its timeout.
+func classify(err error, attempt *verdict.Attempt) (slots.Outcome, verdict.Code) {
+	switch {
+	case err == nil:
+		return slots.Answered, ""
+	case errors.Is(err, backend.ErrRefused):
+		return slots.Refused, verdict.CodeLeafRefused
+	case errors.Is(err, backend.ErrSnapshotGone):
+		return slots.Ended, verdict.CodeSnapshotGone
+	case errors.Is(err, backend.ErrStopped):
+		return slots.Ended, verdict.CodeDeadline
+	case attempt.Verdict().IsNotRun():
+		return slots.NotSent, verdict.CodeSessionLost
+	case errors.Is(err, backend.ErrSessionLost):
+		return slots.Lost, verdict.CodeSessionLost
+	default:
+		return slots.Lost, verdict.CodeInternal
+	}
+}
--- /dev/null
+++ b/internal/leafset/view.go
@@ -0,0 +1,130 @@
+package leafset
+
+import (
+	"cmp"
+	"reflect"
+	"slices"
+
+	"cyclamenstream/api/backend"
+	"cyclamenstream/api/event"
+	"cyclamenstream/api/leaf"
+	"cyclamenstream/api/platform"
+)
+
+// maxShards bounds the shards of a snapshot, so that a wrong report cannot use up the memory. A query of the design
+// size goes to 100 leaves; the whole fleet has 93,000.
+const maxShards = 1 << 17
+
+// report is what a connected leaf last said of itself.
+type report struct {
+	vm     platform.VM
+	status backend.Status
+}
+
+// view is what the connected leaves of a service hold. A published view is never changed.
+type view struct {
+	snapshots []leaf.Snapshot // newest first
+}
+
+func (v *view) find(snapshot string) *leaf.Snapshot {
+	for i := range v.snapshots { // a service has a few snapshots at most
+		if v.snapshots[i].ID == snapshot {
+			return &v.snapshots[i]
+		}
+	}
+	return nil
+}
+
+func (v *view) has(snapshot string) bool { return v.find(snapshot) != nil }
+
+func (v *view) replicas(snapshot string, shard uint32) []leaf.Replica {
+	s := v.find(snapshot)
+	if s == nil || shard >= s.ShardCount {
+		return nil
+	}
+	return s.Replicas[shard]
+}
+
+// publish takes in a leaf's report; nil removes the leaf.
+func (svc *service) publish(vm platform.VM, status *backend.Status) {
+	if !svc.store(vm, status) {
+		return
+	}
+	if status != nil {
+		svc.slots.SetDraining(vm.ID, status.Draining)
+	}
+	svc.slots.Refresh()
+}
+
+// store reports whether the view has changed.
+func (svc *service) store(vm platform.VM, status *backend.Status) bool {
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	old, known := svc.reports[vm.ID]
+	if status == nil {
+		delete(svc.reports, vm.ID)
+	} else {
+		svc.reports[vm.ID] = report{vm, *status}
+	}
+	if known == (status != nil) && (!known ||
+		old.status.Draining == status.Draining && reflect.DeepEqual(old.status.Snapshots, status.Snapshots)) {
+		return false
+	}
+	before := svc.view.Load()
+	after := &view{snapshots: merge(svc.reports)}
+	svc.view.Store(after)
+	for _, s := range after.snapshots {
+		if !before.has(s.ID) {
+			svc.record(event.SnapshotSeen, vm.ID, s.ID)
+		}
+	}
+	return true
+}
+
+// merge combines the reports of all leaves that take new work. Leaves that contradict an earlier one, in order of their
+// VMs, about a snapshot are left out of it.
+func merge(reports map[string]report) []leaf.Snapshot {
+	ids := make([]string, 0, len(reports))
+	for id := range reports {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	var merged []leaf.Snapshot
+	index := map[string]int{}
+	for _, id := range ids {
+		r := reports[id]
+		if r.status.Draining {
+			continue
+		}
+		for _, info := range r.status.Snapshots {
+			if info.ShardCount == 0 || info.ShardCount > maxShards {
+				continue
+			}
+			i, ok := index[info.ID]
+			if !ok {
+				i = len(merged)
+				index[info.ID] = i
+				merged = append(merged, leaf.Snapshot{
+					ID: info.ID, Sequence: info.Sequence, ShardCount: info.ShardCount,
+					Replicas: make([][]leaf.Replica, info.ShardCount),
+				})
+			}
+			addReplica(&merged[i], info, leaf.Replica{VM: id, Zone: r.vm.Zone})
+		}
+	}
+	slices.SortFunc(merged, func(a, b leaf.Snapshot) int {
+		return cmp.Or(cmp.Compare(b.Sequence, a.Sequence), cmp.Compare(a.ID, b.ID))
+	})
+	return merged
+}
+
+func addReplica(s *leaf.Snapshot, info backend.SnapshotInfo, r leaf.Replica) {
+	if s.Sequence != info.Sequence || s.ShardCount != info.ShardCount {
+		return
+	}
+	for _, shard := range info.Shards {
+		if shard < s.ShardCount && !slices.Contains(s.Replicas[shard], r) {
+			s.Replicas[shard] = append(s.Replicas[shard], r)
+		}
+	}
+}
--- /dev/null
+++ b/internal/leafset/worker.go
@@ -0,0 +1,195 @@
+package leafset
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"cyclamenstream/api/backend"
+	"cyclamenstream/api/event"
+	"cyclamenstream/api/leaf"
+	"cyclamenstream/api/platform"
+)
+
+const (
+	// statusEvery is the time between two status calls to a leaf.
+	statusEvery = 250 * time.Millisecond
+	// statusTimeout and maxStatusFailures bound how long a leaf that answers no status call keeps its session: 4 s.
+	statusTimeout     = time.Second
+	maxStatusFailures = 4
+	// dialTimeout bounds one dial: a new connection costs about 6 ms, plus two ways of 20 ms between regions.
+	dialTimeout = time.Second
+	// firstBackoff and maxBackoff bound the pause between two dials to one leaf; each pause is drawn from half the
+	// bound to the bound.
+	firstBackoff = 50 * time.Millisecond
+	maxBackoff   = time.Second
+)
+
+// worker keeps one session to one leaf until its context ends.
+type worker struct {
+	service *service
+	vm      platform.VM
+	cancel  context.CancelFunc
+
+	last *conn // the session before, nil before the first one
+}
+
+func (w *worker) run(ctx context.Context) {
+	backoff := firstBackoff
+	for ctx.Err() == nil {
+		if c, status := w.dial(ctx); c != nil {
+			w.serve(ctx, c, status)
+			w.last = c
+			backoff = firstBackoff
+		}
+		pause := backoff/2 + rand.N(backoff/2)
+		backoff = min(2*backoff, maxBackoff)
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
+// mayDial reports whether a new connection is allowed now.
+func (w *worker) mayDial() bool {
+	deps := w.service.set.deps
+	return deps.Ownership.CheckOwned(w.service.name) == nil && deps.Membership.CheckFresh() == nil &&
+		deps.Membership.LeafAllowed(w.vm)
+}
+
+// dial opens a session and asks for the first status; nil if either fails.
+func (w *worker) dial(ctx context.Context) (*conn, backend.Status) {
+	select {
+	case w.service.set.dials <- struct{}{}:
+		defer func() { <-w.service.set.dials }()
+	case <-ctx.Done():
+		return nil, backend.Status{}
+	}
+	if !w.mayDial() {
+		return nil, backend.Status{}
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	session, err := w.service.set.deps.Dialer.Dial(ctx, w.vm.Address)
+	if err != nil {
+		return nil, backend.Status{}
+	}
+	status, err := session.Status(ctx)
+	if err != nil {
+		_ = session.Close() // the session was not used
+		return nil, backend.Status{}
+	}
+	return &conn{vm: w.vm, session: session, bootID: status.BootID, running: map[string]bool{}}, status
+}
+
+// serve uses a session until it is lost or ctx ends; in the latter case it lets the calls end first.
+func (w *worker) serve(ctx context.Context, c *conn, status backend.Status) {
+	svc := w.service
+	if w.last != nil && w.last.bootID != c.bootID {
+		svc.set.reportCrash(leaf.Crash{Service: svc.name, VM: w.vm.ID, Running: w.last.calls()})
+	}
+	svc.record(event.LeafConnected, w.vm.ID, c.bootID)
+	svc.store(w.vm, &status)
+	svc.slots.Connect(w.vm.ID, w.vm.Zone, c.bootID, c)
+	svc.slots.SetDraining(w.vm.ID, status.Draining)
+	svc.slots.Refresh()
+	w.poll(ctx, c)
+	svc.slots.Disconnect(w.vm.ID)
+	svc.publish(w.vm, nil)
+	if ctx.Err() != nil {
+		select {
+		case <-c.drained():
+		case <-c.session.Done():
+		case <-svc.set.hard.Done():
+		}
+	} else {
+		svc.record(event.LeafLost, w.vm.ID, c.bootID)
+	}
+	_ = c.session.Close() // nothing can be done about a session that fails to close
+}
+
+// poll asks for the leaf's status until the session is lost, the leaf has stopped answering or ctx ends.
+func (w *worker) poll(ctx context.Context, c *conn) {
+	ticker := time.NewTicker(statusEvery)
+	defer ticker.Stop()
+	for failures := 0; failures < maxStatusFailures; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.session.Done():
+			return
+		case <-ticker.C:
+		}
+		epoch := w.service.slots.Epoch(w.vm.ID)
+		statusCtx, cancel := context.WithTimeout(ctx, statusTimeout)
+		status, err := c.session.Status(statusCtx)
+		cancel()
+		if err != nil {
+			failures++
+			continue
+		}
+		failures = 0
+		c.bootID = status.BootID
+		w.service.slots.ShowBoot(w.vm.ID, status.BootID, epoch)
+		w.service.publish(w.vm, &status)
+	}
+}
+
+// conn is one session and the calls on it.
+type conn struct {
+	vm      platform.VM
+	session backend.Session
+	bootID  string // the last one that a status has shown; used by the worker only
+
+	mu      sync.Mutex
+	running map[string]bool // identifiers of the calls under way and of those lost with the session
+	active  int
+	idle    chan struct{} // not nil once drained was called; closed when active is 0
+}
+
+func (c *conn) begin(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.running[id] = true
+	c.active++
+}
+
+// end notes that a call has returned. A call that was lost stays among those reported with a crash.
+func (c *conn) end(id string, lost bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !lost {
+		delete(c.running, id)
+	}
+	c.active--
+	c.closeIfIdle()
+}
+
+func (c *conn) closeIfIdle() {
+	if c.idle != nil && c.active == 0 {
+		select {
+		case <-c.idle:
+		default:
+			close(c.idle)
+		}
+	}
+}
+
+// drained returns a channel that is closed when no call is under way.
+func (c *conn) drained() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = make(chan struct{})
+	c.closeIfIdle()
+	return c.idle
+}
+
+func (c *conn) calls() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Sorted(maps.Keys(c.running))
+}
