--- /dev/null
+++ b/internal/fanout/pass.go
@@ -0,0 +1,192 @@
+package fanout
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"cyclamenstream/api/leaf"
+	"cyclamenstream/api/query"
+	"cyclamenstream/api/verdict"
+)
+
+// outcome is what became of one shard.
+type outcome struct {
+	shard   uint32
+	result  *query.ShardResult // nil without an answer
+	verdict verdict.Verdict
+	err     error
+	gone    bool // the leaves asked do not hold the snapshot
+}
+
+// pass is one try of a query on one snapshot.
+type pass struct {
+	*run
+	snapshot leaf.Snapshot
+	shards   []uint32
+	began    time.Time
+
+	results  []query.ShardResult
+	failures []outcome
+	open     int // shards without an outcome
+	bytes    int
+	gone     bool
+	next     *leaf.Snapshot // on which the query restarts; nil unless the pass was given up for it
+}
+
+// execute asks all shards and returns when each has an outcome, the time is up, the answer is too large, or the pass is
+// to be repeated on a newer snapshot.
+func (p *pass) execute() {
+	ctx, cancel := context.WithCancel(p.ctx)
+	defer cancel()
+	outcomes := make(chan outcome, len(p.shards)) // outcomes after the end fit and are dropped
+	for _, shard := range p.shards {
+		go func() { outcomes <- p.ask(ctx, shard) }()
+	}
+	p.open = len(p.shards)
+	for p.open > 0 {
+		select {
+		case o := <-outcomes:
+			p.take(o)
+		case <-ctx.Done():
+			p.drain(outcomes)
+			return
+		}
+		p.newer()
+		if p.next != nil || p.tooLarge() {
+			cancel()
+			p.drain(outcomes)
+			return
+		}
+	}
+}
+
+// drain takes the outcomes of calls that were just cancelled. A shard that is still open after the settle time may
+// have run.
+func (p *pass) drain(outcomes <-chan outcome) {
+	timer := time.NewTimer(p.settle)
+	defer timer.Stop()
+	for p.open > 0 {
+		select {
+		case o := <-outcomes:
+			p.take(o)
+		case <-timer.C:
+			return
+		}
+	}
+}
+
+func (p *pass) take(o outcome) {
+	p.open--
+	if o.result == nil {
+		p.failures = append(p.failures, o)
+		p.gone = p.gone || o.gone
+		return
+	}
+	p.bytes += len(o.result.Data)
+	p.results = append(p.results, *o.result)
+}
+
+func (p *pass) tooLarge() bool { return p.bytes > p.maxBytes() }
+
+func (p *pass) maxBytes() int { return cmp.Or(p.profile.MaxResultBytes, DefaultMaxResultBytes) }
+
+// timeToRestart reports whether as much time is left as this pass has taken.
+func (p *pass) timeToRestart() bool {
+	return p.ctx.Err() == nil && time.Until(p.finish) >= time.Since(p.began)
+}
+
+// newer looks for the snapshot on which the query is to restart. A request that must run at most once never restarts.
+func (p *pass) newer() {
+	if !p.gone || p.request.NonIdempotent || p.tooLarge() || !p.timeToRestart() {
+		return
+	}
+	if s, ok := successorOf(p.Pool.Snapshots(p.request.Service), p.snapshot); ok {
+		p.next = &s
+	}
+}
+
+// successor returns the snapshot on which the query restarts, or nil. It waits for the leaves to report a newer one
+// while the time allows a restart.
+func (p *pass) successor() *leaf.Snapshot {
+	for p.next == nil && p.gone && !p.request.NonIdempotent && !p.tooLarge() && p.timeToRestart() {
+		sleep(p.ctx, snapshotPoll)
+		p.newer()
+	}
+	return p.next
+}
+
+// notRun reports whether no shard of this pass can have run the request.
+func (p *pass) notRun() bool {
+	return p.open == 0 && len(p.results) == 0 &&
+		!slices.ContainsFunc(p.failures, func(o outcome) bool { return !o.verdict.IsNotRun() })
+}
+
+// merged returns the verdict over all shards of all passes. Answered shards alone make a completed request.
+func (p *pass) merged() verdict.Verdict {
+	switch {
+	case len(p.results) == len(p.shards):
+		return verdict.Completed()
+	case p.notRun() && !p.mayHaveRun:
+		return p.failures[0].verdict
+	default:
+		return verdict.MayHaveRun()
+	}
+}
+
+// finishQuery turns the pass into the query's answer or error.
+func (p *pass) finishQuery() (query.Answer, error) {
+	v := p.merged()
+	p.endIntent(v.IsNotRun())
+	if p.tooLarge() {
+		return query.Answer{}, verdict.WithVerdict(v, verdict.CodeTooLarge,
+			"the answer is larger than the %d bytes that the profile allows", p.maxBytes())
+	}
+	slices.SortFunc(p.results, func(a, b query.ShardResult) int { return cmp.Compare(a.Shard, b.Shard) })
+	answer := query.Answer{RequestID: p.request.ID, Service: p.request.Service, Snapshot: p.snapshot.ID,
+		Coverage: p.coverage(), Results: p.results, Verdict: v, LeafRequests: uint32(p.sent.Load()), Node: p.Node}
+	if len(p.results) == 0 || answer.Coverage.Percent() < p.profile.LeastCoverage {
+		return query.Answer{}, p.failure(v, answer.Coverage)
+	}
+	return answer, nil
+}
+
+// coverage counts over the asked shards of the pinned snapshot; results are in ascending order.
+func (p *pass) coverage() query.Coverage {
+	c := query.Coverage{Total: uint32(len(p.shards))}
+	next := 0
+	for _, shard := range p.shards {
+		if next < len(p.results) && p.results[next].Shard == shard {
+			c.Covered += p.results[next].Covered
+			next++
+			continue
+		}
+		c.Missing = append(c.Missing, shard)
+	}
+	return c
+}
+
+// failure is the error of a query whose coverage is too low. Causes that concern the whole request keep their code, as
+// does a cause that all shards share.
+func (p *pass) failure(v verdict.Verdict, c query.Coverage) error {
+	code, reason := verdict.CodeCoverage, "no leaf answered in time"
+	if len(p.failures) > 0 {
+		reason = verdict.Message(p.failures[0].err)
+	}
+	shared := len(p.failures) == len(p.shards)
+	for _, o := range p.failures {
+		switch cause := verdict.CodeOf(o.err); cause {
+		case verdict.CodeNoOwner, verdict.CodeStale, verdict.CodeDuplicate, verdict.CodeStoreDown,
+			verdict.CodeQuarantined:
+			return verdict.WithVerdict(v, cause, "%s", verdict.Message(o.err))
+		default:
+			shared = shared && cause == verdict.CodeOf(p.failures[0].err)
+		}
+	}
+	if shared {
+		code = verdict.CodeOf(p.failures[0].err)
+	}
+	return verdict.WithVerdict(v, code, "coverage %.2f%% of %d shards is below %.2f%%: %s", c.Percent(), c.Total,
+		p.profile.LeastCoverage, reason)
+}
--- /dev/null
+++ b/internal/fanout/snapshot.go
@@ -0,0 +1,49 @@
+package fanout
+
+import "cyclamenstream/api/leaf"
+
+// choose returns the newest snapshot above a sequence whose shards all have a replica. If none has all, it returns the
+// newest of those with the largest share of shards that have one.
+func choose(snapshots []leaf.Snapshot, above uint64) (leaf.Snapshot, bool) {
+	var best leaf.Snapshot
+	bestShare := 0.0
+	for _, s := range snapshots {
+		share := heldShare(s)
+		if share == 0 || s.Sequence <= above {
+			continue
+		}
+		if share > bestShare || (share == bestShare && s.Sequence > best.Sequence) {
+			best, bestShare = s, share
+		}
+	}
+	return best, bestShare > 0
+}
+
+// heldShare returns the share of the snapshot's shards that have a replica, 1 only if all have.
+func heldShare(s leaf.Snapshot) float64 {
+	held := 0
+	for shard := range min(len(s.Replicas), int(s.ShardCount)) {
+		if len(s.Replicas[shard]) > 0 {
+			held++
+		}
+	}
+	if held == 0 {
+		return 0
+	}
+	return float64(held) / float64(s.ShardCount)
+}
+
+// successorOf returns the snapshot on which a query that has lost the pinned one restarts: a newer one that holds at
+// least the share that the pinned one still holds.
+func successorOf(snapshots []leaf.Snapshot, pinned leaf.Snapshot) (leaf.Snapshot, bool) {
+	next, ok := choose(snapshots, pinned.Sequence)
+	if !ok {
+		return leaf.Snapshot{}, false
+	}
+	for _, s := range snapshots {
+		if s.ID == pinned.ID && heldShare(s) > heldShare(next) {
+			return leaf.Snapshot{}, false
+		}
+	}
+	return next, true
+}
--- /dev/null
+++ b/internal/frontend/frontend.go
@@ -0,0 +1,298 @@
+// Package frontend is the entry point of a query on a node: it validates the request, finds the owner of the service,
+// and runs the query there or forwards it once. It also tells callers which addresses to use.
+package frontend
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"cyclamenstream/api/cluster"
+	"cyclamenstream/api/config"
+	"cyclamenstream/api/platform"
+	"cyclamenstream/api/query"
+	"cyclamenstream/api/verdict"
+)
+
+const (
+	// DefaultMaxQueries bounds the concurrent queries of a node. At 256 KiB of payload and a small answer each they take
+	// at most about 1 GiB.
+	DefaultMaxQueries = 4096
+	// forwardedWait is the longest time that a forwarded request waits at a node that does not own the service yet. A
+	// planned move of a service takes about one heartbeat interval of 250 ms.
+	forwardedWait = 300 * time.Millisecond
+	// A request without an owner looks again at each change and at this interval, which doubles up to the longer one, so
+	// that waiting requests do not flood an owner that has failed.
+	ownerPoll    = 20 * time.Millisecond
+	maxOwnerPoll = 160 * time.Millisecond
+)
+
+// Runner runs a query on the owner of its service. Package fanout implements it.
+type Runner interface {
+	Run(ctx context.Context, r query.Request, p config.Profile) (query.Answer, error)
+}
+
+// Forwarder sends a query to the owner of its service. Its errors carry the verdict of the attempt.
+type Forwarder interface {
+	Forward(ctx context.Context, to platform.VM, r query.Request) (query.Answer, error)
+}
+
+// Quarantine knows the requests that are refused because they crash leaves.
+type Quarantine interface {
+	Fingerprint(service string, payload []byte) string
+	Check(fingerprint string) error
+}
+
+// Deps are what a Frontend uses; all but MaxQueries and LocateTTL are required.
+type Deps struct {
+	Config     config.Source
+	Members    cluster.Membership
+	Owners     cluster.Ownership
+	Runner     Runner
+	Forwarder  Forwarder
+	Quarantine Quarantine
+	// MaxQueries bounds the concurrent queries, 0 for DefaultMaxQueries.
+	MaxQueries int
+	// LocateTTL is the longest time for which callers may keep addresses, 0 for DefaultLocateTTL.
+	LocateTTL time.Duration
+}
+
+// Frontend accepts queries. It is safe for concurrent use.
+type Frontend struct {
+	Deps
+	admission admission
+}
+
+// New returns a Frontend.
+func New(d Deps) *Frontend {
+	if d.MaxQueries == 0 {
+		d.MaxQueries = DefaultMaxQueries
+	}
+	if d.LocateTTL == 0 {
+		d.LocateTTL = DefaultLocateTTL
+	}
+	return &Frontend{Deps: d, admission: admission{max: d.MaxQueries, running: map[requestKey]struct{}{}}}
+}
+
+// Stop refuses new queries with code CodeStopping and waits until the running ones have ended or ctx ends. It is called
+// last in a graceful shutdown, when callers no longer use this node.
+func (f *Frontend) Stop(ctx context.Context) error { return f.admission.stop(ctx) }
+
+// Execute runs a query and returns its answer. Errors carry the verdict on the whole request.
+func (f *Frontend) Execute(ctx context.Context, r query.Request) (query.Answer, error) {
+	r, profile, err := f.validate(r)
+	if err != nil {
+		return query.Answer{}, err
+	}
+	if err := f.Quarantine.Check(f.Quarantine.Fingerprint(r.Service, r.Payload)); err != nil {
+		return query.Answer{}, err
+	}
+	leave, err := f.admission.enter(r, profile.Priority)
+	if err != nil {
+		return query.Answer{}, err
+	}
+	defer leave()
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	route := &route{Frontend: f, request: r, profile: profile}
+	return route.execute(ctx)
+}
+
+// route is the way of one query to the owner of its service.
+type route struct {
+	*Frontend
+	request query.Request
+	profile config.Profile
+	// mayHaveRun is set when an earlier try may have run the request.
+	mayHaveRun bool
+	lastErr    error
+}
+
+// execute tries the owner until a try succeeds or must not be repeated. It waits while no owner is known.
+func (t *route) execute(ctx context.Context) (query.Answer, error) {
+	if t.request.Forwarded {
+		return t.executeForwarded(ctx)
+	}
+	for poll := ownerPoll; ; poll = min(2*poll, maxOwnerPoll) {
+		changed := t.changes()
+		owner, ok := t.owner()
+		if ok {
+			answer, err := t.try(ctx, owner)
+			if err == nil {
+				return answer, nil
+			}
+			if !t.repeatable(err) {
+				return query.Answer{}, t.fail(err)
+			}
+			t.lastErr = err
+			t.mayHaveRun = t.mayHaveRun || !verdict.Of(err).IsNotRun()
+		}
+		if !changed.wait(ctx, poll) {
+			return query.Answer{}, t.fail(t.noOwner())
+		}
+	}
+}
+
+// executeForwarded runs a request that another node has forwarded. It is not forwarded again; it waits a short time for
+// ownership that is just arriving.
+func (t *route) executeForwarded(ctx context.Context) (query.Answer, error) {
+	waitCtx, cancel := context.WithTimeout(ctx, forwardedWait)
+	defer cancel()
+	for {
+		changed := t.changes()
+		if owner, ok := t.Owners.Owner(t.request.Service); ok && owner.Self {
+			return t.try(ctx, owner)
+		}
+		if !changed.wait(waitCtx, ownerPoll) {
+			return query.Answer{}, t.noOwner()
+		}
+	}
+}
+
+// owner returns the owner of the service unless operators have taken its VM out of service.
+func (t *route) owner() (cluster.Owner, bool) {
+	owner, ok := t.Owners.Owner(t.request.Service)
+	if !ok || owner.Self {
+		return owner, ok
+	}
+	return owner, !isOut(t.Config.Current(), owner.VM)
+}
+
+func isOut(d *config.Document, vm platform.VM) bool {
+	return d == nil || d.ZoneOut(vm.Zone) || d.VMOut(vm.ID)
+}
+
+func (t *route) try(ctx context.Context, owner cluster.Owner) (query.Answer, error) {
+	if err := t.Members.CheckFresh(); err != nil {
+		return query.Answer{}, err
+	}
+	if owner.Self {
+		return t.Runner.Run(ctx, t.request, t.profile)
+	}
+	return t.Forwarder.Forward(ctx, owner.VM, t.request)
+}
+
+// repeatable reports whether the request may be tried again at the owner: after "not run" from a node that does not own
+// the service any more, and if idempotent also when the owner was lost.
+func (t *route) repeatable(err error) bool {
+	if t.request.NonIdempotent && !verdict.Of(err).IsNotRun() {
+		return false
+	}
+	var known *verdict.Error
+	if !errors.As(err, &known) {
+		return true // a transport error without a verdict
+	}
+	switch verdict.CodeOf(err) {
+	case verdict.CodeNoOwner, verdict.CodeStopping, verdict.CodeSessionLost:
+		return true
+	}
+	return false
+}
+
+func (t *route) noOwner() error {
+	if t.lastErr != nil {
+		return t.lastErr
+	}
+	return verdict.Refusef(verdict.CodeNoOwner, "no node owns service %q", t.request.Service)
+}
+
+// fail returns the error of the whole request: an earlier try that may have run decides the verdict.
+func (t *route) fail(err error) error {
+	if !t.mayHaveRun {
+		return err
+	}
+	return verdict.WithVerdict(verdict.MayHaveRun(), verdict.CodeOf(err), "%s", verdict.Message(err))
+}
+
+// changes are the channels that tell of changes of members and ownership.
+type changes struct{ members, owned <-chan struct{} }
+
+// changes must be called before the state is read, so that no change in between is missed.
+func (f *Frontend) changes() changes {
+	_, owned := f.Owners.Owned()
+	return changes{members: f.Members.Changed(), owned: owned}
+}
+
+// wait waits for a change, at most for the poll interval, and reports whether ctx is still alive.
+func (c changes) wait(ctx context.Context, poll time.Duration) bool {
+	timer := time.NewTimer(poll)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-c.members:
+	case <-c.owned:
+	case <-timer.C:
+	}
+	return true
+}
+
+// requestKey identifies a request that must run at most once.
+type requestKey struct{ service, caller, id string }
+
+// admission bounds the running queries and refuses a second run of a request that must run at most once.
+type admission struct {
+	max int
+
+	mu      sync.Mutex
+	count   int
+	idle    chan struct{} // closed when no query runs; set by stop
+	running map[requestKey]struct{}
+}
+
+// sharedPart is the part of the bound that queries of the lowest priority may fill. The rest is open in proportion to
+// the priority, so that the lowest priorities are refused first.
+const sharedPart = 0.7
+
+func (a *admission) enter(r query.Request, priority int) (leave func(), err error) {
+	key := requestKey{r.Service, r.Caller, r.ID}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	limit := int(float64(a.max) * (sharedPart + (1-sharedPart)*float64(priority)/config.MaxPriority))
+	switch _, running := a.running[key]; {
+	case a.idle != nil:
+		return nil, verdict.Refusef(verdict.CodeStopping, "the node is stopping")
+	case a.count >= max(limit, 1):
+		return nil, verdict.Refusef(verdict.CodeOverloaded,
+			"%d queries are running, at most %d are accepted at priority %d", a.count, limit, priority)
+	case r.NonIdempotent && running:
+		return nil, verdict.WithVerdict(verdict.MayHaveRun(), verdict.CodeDuplicate,
+			"request %q of caller %q is already running", r.ID, r.Caller)
+	}
+	a.count++
+	if r.NonIdempotent {
+		a.running[key] = struct{}{}
+	}
+	return func() { a.leave(key, r.NonIdempotent) }, nil
+}
+
+func (a *admission) leave(key requestKey, nonIdempotent bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if nonIdempotent {
+		delete(a.running, key)
+	}
+	a.count--
+	if a.count == 0 && a.idle != nil {
+		close(a.idle)
+	}
+}
+
+func (a *admission) stop(ctx context.Context) error {
+	a.mu.Lock()
+	if a.idle == nil {
+		a.idle = make(chan struct{})
+		if a.count == 0 {
+			close(a.idle)
+		}
+	}
+	idle := a.idle
+	a.mu.Unlock()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
