--- a/internal/fanout/fanout.go
+++ b/internal/fanout/fanout.go
@@ -212,7 +212,7 @@
 		q.intentErr = verdict.Refusef(verdict.CodeDeadline, "the query has ended")
 	})
 	switch {
-	case q.intent == nil:
+	case q.intentErr != nil:
 	case notRun:
 		q.intent.Release(q.ctx)
 	default:
