--- /dev/null
+++ b/internal/adapter/backendgrpc/session.go
@@ -0,0 +1,202 @@
+package backendgrpc
+
+import (
+	"cmp"
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"cyclamenstream/api/backend"
+	"cyclamenstream/gen/backendpb"
+)
+
+// session implements backend.Session over one connection.
+type session struct {
+	conn     *grpc.ClientConn
+	api      backendpb.BackendClient
+	address  string
+	counters counters
+
+	done chan struct{}
+	mu   sync.Mutex
+	// ended is set with done; calls under way at that time may still get their answers.
+	ended   bool
+	calls   int
+	closing bool
+}
+
+// Done implements backend.Session.
+func (s *session) Done() <-chan struct{} { return s.done }
+
+// Close implements backend.Session. Calls under way fail with ErrSessionLost.
+func (s *session) Close() error {
+	s.mu.Lock()
+	s.closing = true
+	s.mu.Unlock()
+	err := s.conn.Close()
+	s.end()
+	return class.Wrap(err)
+}
+
+// end marks the session as lost. The connection is closed once the calls under way have ended, since a leaf that shuts
+// down gracefully still answers them.
+func (s *session) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
+		return
+	}
+	s.ended = true
+	close(s.done)
+	if !s.closing {
+		s.counters.lost.Inc(1)
+	}
+	if s.calls == 0 {
+		go s.conn.Close()
+	}
+}
+
+// enter registers a call; it fails when the session is lost.
+func (s *session) enter() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
+		return class.New("leaf %s: %w", s.address, backend.ErrSessionLost)
+	}
+	s.calls++
+	return nil
+}
+
+func (s *session) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls--
+	if s.ended && s.calls == 0 {
+		go s.conn.Close()
+	}
+}
+
+// Status implements backend.Session.
+func (s *session) Status(ctx context.Context) (backend.Status, error) {
+	if err := s.enter(); err != nil {
+		return backend.Status{}, err
+	}
+	defer s.leave()
+	reply, err := s.api.GetStatus(ctx, &backendpb.StatusRequest{})
+	if ctx.Err() != nil {
+		return backend.Status{}, class.New("status of leaf %s: %w", s.address, ctx.Err())
+	}
+	if err != nil {
+		return backend.Status{}, s.failure(err)
+	}
+	st := backend.Status{BootID: reply.BootId, InFlight: reply.InFlight, Draining: reply.Draining}
+	for _, p := range reply.Snapshots {
+		st.Snapshots = append(st.Snapshots, backend.SnapshotInfo{
+			ID: p.Id, Sequence: p.Sequence, ShardCount: p.ShardCount, Shards: p.Shards})
+	}
+	return st, nil
+}
+
+// Do implements backend.Session.
+func (s *session) Do(ctx context.Context, call backend.Call) (backend.Reply, error) {
+	if call.Timeout <= 0 {
+		return backend.Reply{}, class.New("call %s: timeout %v is not positive", call.ID, call.Timeout)
+	}
+	if err := s.enter(); err != nil {
+		return backend.Reply{}, err
+	}
+	defer s.leave()
+	timeout := remaining(ctx, call.Timeout)
+	if err := cmp.Or(ctx.Err(), past(timeout)); err != nil {
+		return backend.Reply{}, class.New("call %s: %w before it was sent", call.ID, err)
+	}
+	end, stop := context.WithTimeout(context.WithoutCancel(ctx), timeout+backend.EndGrace)
+	defer stop()
+	defer context.AfterFunc(ctx, func() { s.cancel(end, call.ID) })()
+	request := &backendpb.RunRequest{Id: call.ID, Service: call.Service, Snapshot: call.Snapshot, Shard: call.Shard,
+		Payload: call.Payload, TimeoutMs: wireMillis(timeout)}
+	call.Attempt.Begin()
+	reply, err := s.api.Run(end, request)
+	if err != nil {
+		return backend.Reply{}, s.failure(err)
+	}
+	return s.accept(end, call, reply)
+}
+
+// remaining returns the time that the leaf may spend: the call's timeout, or less if ctx ends earlier.
+func remaining(ctx context.Context, timeout time.Duration) time.Duration {
+	if deadline, ok := ctx.Deadline(); ok {
+		return min(timeout, time.Until(deadline))
+	}
+	return timeout
+}
+
+// past returns context.DeadlineExceeded if no time is left.
+func past(left time.Duration) error {
+	if left <= 0 {
+		return context.DeadlineExceeded
+	}
+	return nil
+}
+
+// wireMillis rounds down to milliseconds, so that the leaf ends no later than the sender expects, but not to 0.
+func wireMillis(d time.Duration) int64 { return max(1, d.Milliseconds()) }
+
+// cancel asks the leaf to stop the call. The leaf's reply says that the call has ended.
+func (s *session) cancel(ctx context.Context, id string) {
+	_, _ = s.api.Cancel(ctx, &backendpb.CancelRequest{Id: id})
+}
+
+// accept checks that the reply belongs to the call and turns it into its result.
+func (s *session) accept(end context.Context, call backend.Call, reply *backendpb.RunReply) (backend.Reply, error) {
+	if !matches(call, reply) {
+		s.counters.mismatched.Inc(1)
+		// The foreign answer does not say that this call has ended, so the leaf is asked to end it.
+		s.cancel(end, call.ID)
+		return backend.Reply{}, class.New("%w: call %s got the answer of call %s, snapshot %s, shard %d",
+			backend.ErrMismatch, call.ID, reply.Id, reply.Snapshot, reply.Shard)
+	}
+	switch reply.Outcome {
+	case backendpb.Outcome_OUTCOME_DONE:
+		call.Attempt.Answered()
+		return backend.Reply{ID: reply.Id, Snapshot: reply.Snapshot, Shard: reply.Shard, BootID: reply.BootId,
+			Data: reply.Data, Covered: reply.Covered}, nil
+	case backendpb.Outcome_OUTCOME_REFUSED:
+		call.Attempt.Refused()
+		return failed(reply, backend.ErrRefused)
+	case backendpb.Outcome_OUTCOME_SNAPSHOT_GONE:
+		call.Attempt.Refused()
+		return failed(reply, backend.ErrSnapshotGone)
+	case backendpb.Outcome_OUTCOME_STOPPED:
+		return failed(reply, backend.ErrStopped)
+	}
+	return backend.Reply{}, class.New("leaf %s: unknown outcome %d of call %s", s.address, reply.Outcome, call.ID)
+}
+
+// failed returns the identity of the reply, which tells the leaf's boot identifier, with the error.
+func failed(reply *backendpb.RunReply, err error) (backend.Reply, error) {
+	return backend.Reply{ID: reply.Id, Snapshot: reply.Snapshot, Shard: reply.Shard, BootID: reply.BootId},
+		class.New("%w: call %s: %s", err, reply.Id, reply.Message)
+}
+
+// matches reports whether the reply belongs to the call. A refusal needs the identifier only, which is unique.
+func matches(call backend.Call, reply *backendpb.RunReply) bool {
+	if reply.Id != call.ID {
+		return false
+	}
+	return reply.Outcome != backendpb.Outcome_OUTCOME_DONE ||
+		(reply.Snapshot == call.Snapshot && reply.Shard == call.Shard)
+}
+
+// failure turns a gRPC error into the port's.
+func (s *session) failure(err error) error {
+	switch status.Code(err) {
+	case codes.Unavailable, codes.DeadlineExceeded, codes.Canceled:
+		return class.New("leaf %s: %w: %w", s.address, backend.ErrSessionLost, err)
+	}
+	return class.New("leaf %s: %w", s.address, err)
+}
