--- a/internal/standin/leaf/leaf.go
+++ b/internal/standin/leaf/leaf.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cyclamenstream/api/backend"
+	"cyclamenstream/api/config"
 )
 
 // Outcome tells how a call ended on the leaf.
@@ -25,19 +26,23 @@
 
 // Execution is a call that the leaf began to run.
 type Execution struct {
-	ID       string    `json:"id"`
-	Service  string    `json:"service"`
-	Payload  []byte    `json:"payload"`
-	Shard    uint32    `json:"shard"`
-	Snapshot string    `json:"snapshot"`
-	BootID   string    `json:"boot_id"`
-	Start    time.Time `json:"start"`
+	ID       string `json:"id"`
+	Service  string `json:"service"`
+	Payload  []byte `json:"payload"`
+	Shard    uint32 `json:"shard"`
+	Snapshot string `json:"snapshot"`
+	BootID   string `json:"boot_id"`
+	// Timeout is what the call allowed the leaf to spend.
+	Timeout config.Duration `json:"timeout"`
+	Start   time.Time       `json:"start"`
 	// End is zero while the call runs.
 	End     time.Time `json:"end"`
 	Outcome Outcome   `json:"outcome"`
 	// Concurrent is the number of calls that ran after the start of this one, itself included.
 	Concurrent int  `json:"concurrent"`
 	Cold       bool `json:"cold"`
+	// Covered is the share of the shard that was searched, if the call is done.
+	Covered float64 `json:"covered"`
 }
 
 // Counters counts what the leaf saw since its process started.
@@ -273,10 +278,11 @@
 		l.Crash()
 		return Answer{}, errDown
 	}
-	if !l.finish(entry, r, crash, outcome) {
+	e, ok := l.finish(entry, r, crash, outcome)
+	if !ok {
 		return Answer{}, errDown
 	}
-	return l.deliver(l.answer(request, outcome), crash)
+	return l.deliver(answerOf(e), crash)
 }
 
 // start admits a call. A nil running means that it is answered at once.
@@ -295,7 +301,7 @@
 	l.count(request.ID, cold)
 	l.running[request.ID] = r
 	l.log = append(l.log, Execution{ID: request.ID, Service: request.Service, Payload: request.Payload, Shard: request.Shard,
-		Snapshot: request.Snapshot, BootID: l.bootID(), Start: time.Now(), Outcome: Running, Concurrent: len(l.running), Cold: cold})
+		Snapshot: request.Snapshot, BootID: l.bootID(), Timeout: config.Duration(request.Timeout), Start: time.Now(), Outcome: Running, Concurrent: len(l.running), Cold: cold})
 	entry := len(l.log) - 1
 	l.note(entry)
 	if l.overloaded(cold) && l.config.FallOver {
@@ -372,14 +378,17 @@
 }
 
 // finish notes the end of a call; it reports false if the leaf crashed first.
-func (l *Leaf) finish(entry int, r *running, crash chan struct{}, outcome Outcome) bool {
+func (l *Leaf) finish(entry int, r *running, crash chan struct{}, outcome Outcome) (Execution, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.crash != crash || l.down {
-		return false
+		return Execution{}, false
 	}
 	e := &l.log[entry]
 	e.End, e.Outcome = time.Now(), outcome
+	if outcome == Done {
+		e.Covered = l.covered(e.Shard)
+	}
 	l.note(entry)
 	delete(l.running, e.ID)
 	close(r.ended)
@@ -389,22 +398,25 @@
 	} else {
 		l.counters.Stopped++
 	}
-	return true
+	return *e, true
 }
 
-func (l *Leaf) answer(request Request, outcome Outcome) Answer {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	a := Answer{ID: request.ID, Snapshot: request.Snapshot, Shard: request.Shard, BootID: l.bootID()}
-	if outcome == Stopped {
+// covered returns the share of a shard that the leaf searches.
+func (l *Leaf) covered(shard uint32) float64 {
+	if share, ok := l.faults.Partial[shard]; ok {
+		return share
+	}
+	return 1
+}
+
+// answerOf returns the answer to a call that has ended.
+func answerOf(e Execution) Answer {
+	a := Answer{ID: e.ID, Snapshot: e.Snapshot, Shard: e.Shard, BootID: e.BootID}
+	if e.Outcome == Stopped {
 		a.Err = backend.ErrStopped
 		return a
 	}
-	a.Covered = 1
-	if share, ok := l.faults.Partial[request.Shard]; ok {
-		a.Covered = share
-	}
-	a.Data = Data(request.Service, request.Snapshot, request.Shard, request.Payload)
+	a.Covered, a.Data = e.Covered, Data(e.Service, e.Snapshot, e.Shard, e.Payload)
 	return a
 }
 
