Wire a node, add its subcommand

Cause: the components had constructors but no process. Before: none ran. Ruled out: tally's own cardinality metrics, whose names Prometheus rejects.

--- a/cmd/cyclamenstream/main.go
+++ b/cmd/cyclamenstream/main.go
@@ -78,6 +78,8 @@
 type cli struct {
 	globals
 
+	RunNode nodeCommand `cmd:"" name:"node" help:"Run a node of the query tier."`
+
 	Query  queryCommand  `cmd:"" help:"Run a query."`
 	Locate locateCommand `cmd:"" help:"Show which addresses callers use for a service."`
 
