Show an empty store as an empty configuration

Cause: the first profile could not be created, since the command reads the configuration first and got 503. Before: profile create exit code 5 on a new store.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -128,7 +128,7 @@
 // SetWatching says whether this node is one of those that watch the sources.
 func (r *Relay) SetWatching(watching bool) { r.watching.Store(watching) }
 
-// Current returns the newest configuration; nil before the first one was read.
+// Current returns the newest configuration; nil before the store or a peer was read, version 0 if the store is empty.
 func (r *Relay) Current() *config.Document {
 	doc, _ := r.config.parsed.Load().(*config.Document)
 	return doc
@@ -370,6 +370,9 @@
 func (r *Relay) takeConfig(entry platform.Entry, began time.Time) error {
 	r.storeVersion.Store(entry.Version)
 	if entry.Version == 0 {
+		// An empty store is shown as an empty configuration, so that operators can make the first change. It confirms
+		// nothing: the store may have lost its writes.
+		r.config.parsed.CompareAndSwap(nil, &config.Document{})
 		return nil
 	}
 	if r.config.holds(entry.Value) {
