--- a/cmd/cyclamenstream/main.go
+++ b/cmd/cyclamenstream/main.go
@@ -83,6 +83,8 @@
 	Query  queryCommand  `cmd:"" help:"Run a query."`
 	Locate locateCommand `cmd:"" help:"Show which addresses callers use for a service."`
 
+	Demo demoCommand `cmd:"" help:"Run a small tier in this process and show how it behaves while a zone leaves and returns."`
+
 	Status     statusCommand   `cmd:"" help:"Show the nodes, what they own and which configuration they use."`
 	Timeline   timelineCommand `cmd:"" help:"Show the events of all nodes in one order."`
 	Profile    profileCommands `cmd:"" help:"Create, edit, show, list and delete profiles."`
