--- a/internal/member/leases.go
+++ b/internal/member/leases.go
@@ -167,12 +167,14 @@
 // settled reports whether settleTime has passed since the node changed its member set or started.
 func (g *ledger) settled(now instant) bool { return g.hasSet && now >= g.setAt+settleTime }
 
-// claim begins a heartbeat at now, its time of sending: the node acknowledges its own claims.
+// claim begins a heartbeat at now, its time of sending: the node acknowledges its own claims. The releases to be told
+// must be read after it.
 func (g *ledger) claim(now instant, services []string, fresh bool) (hash uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, service := range services {
 		l := g.lease(service)
+		l.releaseUntil = 0 // A release that is still being told would undo this claim.
 		if g.promise(now, l, g.self, true, fresh) {
 			g.credit(now, l, g.self.vm, now, fresh)
 		}
