--- a/internal/experiment/policies.go
+++ b/internal/experiment/policies.go
@@ -55,7 +55,9 @@
 func (p *ownerQueue) ended(r *request, _ int) {
 	g := p.grants[r]
 	delete(p.grants, r)
-	g.Send(r.service)
+	if err := g.Send(r.service); err != nil {
+		panic(err) // the owner and the leaf never change in the model
+	}
 	g.Finish(slots.Answered, r.service, "boot")
 }
 
--- a/internal/leafset/leafset.go
+++ b/internal/leafset/leafset.go
@@ -154,7 +154,7 @@
 		if cfg, ok := document.Services[o.Service]; ok {
 			wanted[o.Service] = true
 			if svc := s.service(o.Service); svc != nil {
-				svc.update(o, slots.Limits{Slots: cfg.Slots, ColdSlots: cfg.ColdSlots})
+				svc.update(o, slots.Limits{Slots: cfg.Slots, ColdSlots: cfg.ColdSlots}, s.deps.Membership.Leaves(o.Service))
 			}
 		}
 	}
@@ -171,6 +171,7 @@
 // service returns the state of a service, which is kept for good once it was owned: calls of an earlier time of
 // ownership may still run. It returns nil after Stop.
 func (s *Set) service(name string) *service {
+	zone := s.deps.Membership.Self().Zone // no other component is called with a lock held
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.stopped {
@@ -178,7 +179,7 @@
 	}
 	svc := s.services[name]
 	if svc == nil {
-		svc = newService(s, name)
+		svc = newService(s, name, zone)
 		s.services[name] = svc
 	}
 	return svc
@@ -249,6 +250,9 @@
 	if svc == nil {
 		return nil, verdict.Refusef(verdict.CodeNoOwner, "this node does not own service %q", need.Service)
 	}
+	if err := s.deps.Ownership.CheckOwned(need.Service); err != nil {
+		return nil, err
+	}
 	ready := make(chan result, 1)
 	grant, waiter, err := svc.slots.Acquire(slots.Request{
 		Replicas:  func() []leaf.Replica { return svc.view.Load().replicas(need.Snapshot, need.Shard) },
--- a/internal/leafset/service.go
+++ b/internal/leafset/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,7 +34,7 @@
 
 type gauges struct{ waiting, inUse, limit, connected tally.Gauge }
 
-func newService(set *Set, name string) *service {
+func newService(set *Set, name, zone string) *service {
 	scope := set.deps.Scope.SubScope("leafset").Tagged(map[string]string{"service": name})
 	svc := &service{
 		set:     set,
@@ -47,7 +48,7 @@
 	timer := time.AfterFunc(time.Hour, func() { svc.slots.Poll() })
 	timer.Stop()
 	svc.slots = slots.NewService(slots.Options{
-		Zone:    set.deps.Membership.Self().Zone,
+		Zone:    zone,
 		Now:     time.Now,
 		Typical: func() time.Duration { return svc.latency.Estimate().P50 },
 		Wake:    func(d time.Duration) { timer.Reset(d) },
@@ -79,29 +80,28 @@
 // newTenure reports whether o is another time of ownership than the last one: a lapse without a handover shows as a
 // later UsableFrom that has not come yet, one with a handover as another Handover.
 func (svc *service) newTenure(o cluster.OwnedService, now time.Time) bool {
-	if o.Handover != nil && o.Handover != svc.tenure.Handover {
+	if o.Handover != nil && !reflect.DeepEqual(o.Handover, svc.tenure.Handover) {
 		return true
 	}
 	return o.UsableFrom.After(svc.tenure.UsableFrom) && o.UsableFrom.After(now)
 }
 
 // update opens the service in a new time of ownership and starts and stops workers as the list of leaves asks.
-func (svc *service) update(o cluster.OwnedService, limits slots.Limits) {
+func (svc *service) update(o cluster.OwnedService, limits slots.Limits, allowed []platform.VM) {
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
+	svc.slots.SetLimits(limits)
 	first := svc.tenure.Service == ""
 	if first || svc.newTenure(o, time.Now()) {
 		svc.closeLocked()
-		svc.slots.SetLimits(limits)
 		svc.slots.Open(o.UsableFrom, o.Handover)
 		svc.open, svc.tenure = true, o
 	}
 	if !svc.open {
 		return // released, and not owned anew
 	}
-	svc.slots.SetLimits(limits)
 	leaves := map[string]platform.VM{}
-	for _, vm := range svc.set.deps.Membership.Leaves(svc.name) {
+	for _, vm := range allowed {
 		leaves[vm.ID] = vm
 	}
 	for id, w := range svc.workers {
--- a/internal/leafset/view.go
+++ b/internal/leafset/view.go
@@ -21,6 +21,21 @@
 	status backend.Status
 }
 
+// without returns a copy of the status without one shard of a snapshot.
+func (r report) without(snapshot string, shard uint32) *backend.Status {
+	status := r.status
+	status.Snapshots = nil
+	for _, info := range r.status.Snapshots {
+		if info.ID == snapshot {
+			info.Shards = slices.DeleteFunc(slices.Clone(info.Shards), func(s uint32) bool { return s == shard })
+		}
+		if len(info.Shards) > 0 {
+			status.Snapshots = append(status.Snapshots, info)
+		}
+	}
+	return &status
+}
+
 // view is what the connected leaves of a service hold. A published view is never changed.
 type view struct {
 	snapshots []leaf.Snapshot // newest first
@@ -45,6 +60,18 @@
 	return s.Replicas[shard]
 }
 
+// snapshotGone removes a shard of a snapshot from a leaf's report, so that no call is sent for it again before the leaf
+// reports it again.
+func (svc *service) snapshotGone(vm, snapshot string, shard uint32) {
+	svc.mu.Lock()
+	r, ok := svc.reports[vm]
+	changed := ok && svc.storeLocked(r.vm, r.without(snapshot, shard))
+	svc.mu.Unlock()
+	if changed {
+		svc.slots.Refresh()
+	}
+}
+
 // publish takes in a leaf's report; nil removes the leaf.
 func (svc *service) publish(vm platform.VM, status *backend.Status) {
 	if !svc.store(vm, status) {
@@ -60,6 +87,10 @@
 func (svc *service) store(vm platform.VM, status *backend.Status) bool {
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
+	return svc.storeLocked(vm, status)
+}
+
+func (svc *service) storeLocked(vm platform.VM, status *backend.Status) bool {
 	old, known := svc.reports[vm.ID]
 	if status == nil {
 		delete(svc.reports, vm.ID)
--- a/internal/leafset/worker.go
+++ b/internal/leafset/worker.go
@@ -26,6 +26,9 @@
 	// bound to the bound.
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = time.Second
+	// resetAfter is how long a session must have lasted for the next pause to be short again, so that a leaf that drops
+	// each new session does not spend its time on handshakes.
+	resetAfter = 10 * time.Second
 )
 
 // worker keeps one session to one leaf until its context ends.
@@ -41,9 +44,12 @@
 	backoff := firstBackoff
 	for ctx.Err() == nil {
 		if c, status := w.dial(ctx); c != nil {
+			start := time.Now()
 			w.serve(ctx, c, status)
 			w.last = c
-			backoff = firstBackoff
+			if time.Since(start) > resetAfter {
+				backoff = firstBackoff
+			}
 		}
 		pause := backoff/2 + rand.N(backoff/2)
 		backoff = min(2*backoff, maxBackoff)
@@ -83,7 +89,7 @@
 		_ = session.Close() // the session was not used
 		return nil, backend.Status{}
 	}
-	return &conn{vm: w.vm, session: session, bootID: status.BootID, running: map[string]bool{}}, status
+	return &conn{vm: w.vm, session: session, bootID: status.BootID, running: map[string]bool{}, ask: make(chan struct{}, 1)}, status
 }
 
 // serve uses a session until it is lost or ctx ends; in the latter case it lets the calls end first.
@@ -123,6 +129,7 @@
 		case <-c.session.Done():
 			return
 		case <-ticker.C:
+		case <-c.ask:
 		}
 		epoch := w.service.slots.Epoch(w.vm.ID)
 		statusCtx, cancel := context.WithTimeout(ctx, statusTimeout)
@@ -143,7 +150,8 @@
 type conn struct {
 	vm      platform.VM
 	session backend.Session
-	bootID  string // the last one that a status has shown; used by the worker only
+	bootID  string        // the last one that a status has shown; used by the worker only
+	ask     chan struct{} // asks for a status before the next one is due
 
 	mu      sync.Mutex
 	running map[string]bool // identifiers of the calls under way and of those lost with the session
@@ -151,6 +159,13 @@
 	idle    chan struct{} // not nil once drained was called; closed when active is 0
 }
 
+func (c *conn) askStatus() {
+	select {
+	case c.ask <- struct{}{}:
+	default:
+	}
+}
+
 func (c *conn) begin(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/slots/grant.go
+++ b/internal/slots/grant.go
@@ -40,16 +40,19 @@
 // Session returns the session that the leaf was connected with.
 func (g *Grant) Session() any { return g.conn }
 
-// Send marks the slot as used by a call with the given timeout, and reports whether the call may be sent. It must not
-// be sent when the leaf's session or boot identifier has changed or ownership has ended since the grant.
-func (g *Grant) Send(timeout time.Duration) bool {
+// Send marks the slot as used by a call with the given timeout. The call must not be sent when it returns an error:
+// ErrClosed when ownership has ended since the grant, ErrRevoked when the leaf's session or boot identifier has changed.
+func (g *Grant) Send(timeout time.Duration) error {
 	now := g.service.lock()
 	defer func() { g.service.unlock(now) }()
 	if g.state != granted {
-		return false
+		if !g.service.open {
+			return ErrClosed
+		}
+		return ErrRevoked
 	}
 	g.state, g.until = sent, now.Add(timeout+backend.EndGrace)
-	return true
+	return nil
 }
 
 // Outcome is how a call ended.
--- a/internal/slots/queue.go
+++ b/internal/slots/queue.go
@@ -7,7 +7,7 @@
 	"cyclamenstream/api/config"
 )
 
-// Errors of Acquire. In all cases nothing was granted.
+// Errors of Acquire, in which case nothing was granted, and of Grant.Send.
 var (
 	// ErrClosed says that this node does not own the service.
 	ErrClosed = errors.New("service is not owned")
@@ -19,6 +19,8 @@
 	ErrQueueFull = errors.New("queue is full")
 	// ErrTooLate says that too little time was left for the service's typical latency.
 	ErrTooLate = errors.New("deadline cannot be met")
+	// ErrRevoked says that the leaf's session or boot identifier has changed since the grant.
+	ErrRevoked = errors.New("leaf's session or process has changed")
 	// ErrDeadline says that the deadline has passed.
 	ErrDeadline = errors.New("deadline has passed")
 )
