Test intents and re-read a bucket before refusing

Cause: the property test found that an attempt was refused as a duplicate because of another node's intent in the locally known content of the bucket, although that intent had been released since. It came up within a few tens of runs, also without any fault of the store. Before: a resend after "not run" could be refused until the content was read again for another reason; conflicts were retried without any pause. After: content that was read before the attempt began refuses nothing, neither as a duplicate nor as full. The third conflict in a row waits.

--- a/internal/intent/bucket.go
+++ b/internal/intent/bucket.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -15,6 +16,10 @@
 	"cyclamenstream/gen/intentpb"
 )
 
+// freeConflicts is the number of conflicts in a row that are retried at once. More come when many nodes write the bucket,
+// or when the store recovers and returns an old version.
+const freeConflicts = 2
+
 // entryOverhead is the size of an entry's tag and length in a bucket.
 const entryOverhead = 2
 
@@ -134,7 +139,7 @@
 // commitAll runs rounds until no attempt waits or is stale.
 func (b *bucket) commitAll() {
 	defer b.wg.Done()
-	backoff := minBackoff
+	backoff, conflicts := minBackoff, 0
 	for {
 		b.mu.Lock()
 		if b.ctx.Err() != nil {
@@ -148,12 +153,16 @@
 			return
 		}
 		b.mu.Unlock()
-		err := b.round()
-		if err == nil || errors.Is(err, platform.ErrConflict) {
-			backoff = minBackoff
+		switch err := b.round(); {
+		case err == nil:
+			backoff, conflicts = minBackoff, 0
 			continue
+		case errors.Is(err, platform.ErrConflict):
+			if conflicts++; conflicts <= freeConflicts {
+				continue
+			}
 		}
-		b.pause(backoff)
+		b.pause(backoff/2 + rand.N(backoff/2))
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
@@ -175,6 +184,7 @@
 		return err
 	}
 	batch, write := b.merge()
+	defer func() { b.loaded = b.loaded && !batch.reread }()
 	if !write {
 		return nil
 	}
@@ -218,6 +228,11 @@
 	if b.loaded {
 		return nil
 	}
+	b.mu.Lock()
+	for _, c := range b.waiting {
+		c.read = true
+	}
+	b.mu.Unlock()
 	ctx, cancel := context.WithTimeout(b.ctx, callTimeout)
 	defer cancel()
 	entry, err := b.store.Get(ctx, b.key)
@@ -254,6 +269,7 @@
 	fresh   []*claim // those of added that no earlier write contained
 	removed []*claim
 	done    []string
+	reread  bool // the known content is too old to refuse an attempt
 }
 
 // merge applies the waiting and stale attempts to the known content and reports whether a write is needed.
@@ -290,6 +306,10 @@
 			b.confirm(c)
 			return
 		}
+		if !c.read {
+			todo.reread = true
+			return
+		}
 		what := "another attempt holds the request"
 		if e.GetDone() {
 			what = "another attempt has ended and may have run"
@@ -298,7 +318,10 @@
 		return
 	}
 	e := &intentpb.Entry{Request: []byte(c.request), Attempt: []byte(c.attempt), CreatedMs: c.began.UnixMilli()}
-	if b.size+proto.Size(e)+entryOverhead > maxBucketBytes {
+	if full := b.size+proto.Size(e)+entryOverhead > maxBucketBytes; full && !c.read {
+		todo.reread = true
+		return
+	} else if full {
 		b.refuse(c, verdict.Refusef(verdict.CodeOverloaded,
 			"%s: the intents of the last %s fill their bucket of %d bytes", c.name, Expiry, maxBucketBytes))
 		return
--- a/internal/intent/intent.go
+++ b/internal/intent/intent.go
@@ -159,6 +159,9 @@
 
 	state state
 	err   error
+	// read says that the bucket was read since the attempt began. An older content may name another attempt that was
+	// released since, and refuses nothing.
+	read bool
 	// written says that a write of the attempt may have taken effect or may still do so; fence is the highest version
 	// that such a write expected. Once the key has a higher version, none of them can take effect any more.
 	written bool
