--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -32,9 +32,11 @@
 	// leastRemaining is the shortest remaining time of an entry that is taken over from a peer. Without it, nodes whose
 	// copies expire at slightly different times would pass an entry on to each other for ever.
 	leastRemaining = 5 * time.Second
-	// Bounds on memory: about 1 MB each.
-	maxEntries  = 4096
-	maxSuspects = 4096
+	// maxEntries bounds memory and what each heartbeat carries: about 100 bytes an entry. The entry that expires first
+	// makes room.
+	maxEntries = 256
+	// Bounds on memory: about 0.2 and 2 MB.
+	maxSuspects = 1024
 	maxCalls    = 16384
 	// maxCrashedVMs bounds the leaves that an entry names.
 	maxCrashedVMs = 8
@@ -78,6 +80,7 @@
 	fingerprint string
 	shard       uint32
 	alone       *suspect // whose turn the call holds
+	left        bool     // has ended without an answer
 }
 
 type endedCall struct {
@@ -190,7 +193,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c := l.calls[callID]
-	if c == nil {
+	if c == nil || c.left {
 		return
 	}
 	if c.alone != nil {
@@ -206,6 +209,7 @@
 		delete(l.calls, callID)
 		return
 	}
+	c.left = true
 	l.ended = append(l.ended, endedCall{id: callID, at: time.Now()})
 	for len(l.ended) > maxCalls || time.Since(l.ended[0].at) > suspicion {
 		delete(l.calls, l.ended[0].id)
