Add the harness for tests with real processes

Before: none. After: internal/proctest builds the programs, starts platform, leaves and nodes behind TCP fault proxies, generates open-loop load and checks callers' answers against the leaves' logs. Conclusion: every check of Violations and every fault of the proxy has a case that makes it act.

--- /dev/null
+++ b/internal/proctest/cluster.go
@@ -0,0 +1,324 @@
+package proctest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"cyclamenstream/api/backend"
+	"cyclamenstream/api/config"
+	"cyclamenstream/api/operator"
+	"cyclamenstream/api/platform"
+	"cyclamenstream/internal/standin/leaf"
+)
+
+// Spec describes the processes of a test.
+type Spec struct {
+	Nodes  []platform.VM
+	Leaves []LeafSpec
+	// Profiles and Services are what the operator creates before the test begins.
+	Profiles map[string]config.Profile
+	Services map[string]config.Service
+	// LocateTTL is how long callers may cache addresses.
+	LocateTTL time.Duration
+}
+
+// LeafSpec describes one leaf.
+type LeafSpec struct {
+	VM     platform.VM
+	Config leaf.Config
+}
+
+// Cluster is a running platform with leaves and nodes.
+type Cluster struct {
+	Network  *Network
+	Platform *Platform
+	// Leaves and Nodes are keyed by VM.
+	Leaves map[string]*Leaf
+	Nodes  map[string]*Node
+	Spec   Spec
+
+	t   testing.TB
+	dir string
+
+	mu        sync.Mutex
+	snapshots map[snapshotKey]uint32 // number of shards
+	changes   int
+}
+
+type snapshotKey struct{ service, snapshot string }
+
+// Start starts the processes of spec, waits until the nodes serve, and creates profiles and services.
+func Start(t testing.TB, spec Spec) *Cluster {
+	t.Helper()
+	c := &Cluster{Network: newNetwork(t), Leaves: map[string]*Leaf{}, Nodes: map[string]*Node{}, Spec: spec, t: t,
+		dir: t.TempDir(), snapshots: map[snapshotKey]uint32{}}
+	c.Platform = startPlatform(t, c.Network)
+	c.Network.register(c.Platform.Process)
+	for _, l := range spec.Leaves {
+		c.addLeaf(l)
+	}
+	for _, vm := range spec.Nodes {
+		c.addNode(vm)
+	}
+	for _, n := range c.Nodes {
+		n.start()
+	}
+	c.AwaitServing()
+	for _, name := range slices.Sorted(maps.Keys(spec.Profiles)) {
+		p := spec.Profiles[name]
+		c.Apply(config.Change{Op: config.OpPutProfile, Name: name, Profile: &p})
+	}
+	var version uint64
+	for _, name := range slices.Sorted(maps.Keys(spec.Services)) {
+		s := spec.Services[name]
+		version = c.Apply(config.Change{Op: config.OpPutService, Name: name, Service: &s})
+	}
+	c.AwaitVersion(version, startLimit)
+	return c
+}
+
+func (c *Cluster) noteSnapshots(service string, snapshots []backend.SnapshotInfo) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range snapshots {
+		c.snapshots[snapshotKey{service, s.ID}] = s.ShardCount
+	}
+}
+
+// address returns a free address or fails the test.
+func (c *Cluster) address() string {
+	c.t.Helper()
+	a, err := freePort()
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return a
+}
+
+func (c *Cluster) addLeaf(spec LeafSpec) {
+	l := &Leaf{VM: spec.VM, Config: spec.Config, cluster: c, own: c.address(), logFile: filepath.Join(c.dir, spec.VM.ID+".log")}
+	l.VM.Address = c.Network.proxy(l.VM.ID, l.own)
+	l.Config.VM, l.Config.Service = l.VM.ID, l.VM.Service
+	c.noteSnapshots(l.VM.Service, l.Config.Snapshots)
+	l.start()
+	c.Leaves[l.VM.ID] = l
+	c.Platform.PutVM(l.VM)
+}
+
+func (c *Cluster) addNode(vm platform.VM) {
+	n := &Node{VM: vm, cluster: c, peerListen: c.address()}
+	n.VM.Address = c.Network.proxy(vm.ID, n.peerListen)
+	n.VM.CallerAddress = c.address()
+	n.writeSettings()
+	c.Nodes[vm.ID] = n
+	c.Platform.PutVM(n.VM)
+}
+
+// Node is one node's process.
+type Node struct {
+	*Process
+	VM platform.VM
+
+	cluster    *Cluster
+	peerListen string
+	settings   string
+}
+
+// settings is the node's TOML file.
+type settings struct {
+	VM            string `toml:"vm"`
+	Zone          string `toml:"zone"`
+	Region        string `toml:"region"`
+	PeerListen    string `toml:"peer_listen"`
+	PeerAddress   string `toml:"peer_address"`
+	CallerListen  string `toml:"caller_listen"`
+	CallerAddress string `toml:"caller_address"`
+	Platform      string `toml:"platform"`
+	LocateTTL     string `toml:"locate_ttl"`
+}
+
+func (n *Node) writeSettings() {
+	c := n.cluster
+	text, err := toml.Marshal(settings{VM: n.VM.ID, Zone: n.VM.Zone, Region: n.VM.Region, PeerListen: n.peerListen,
+		PeerAddress: n.VM.Address, CallerListen: n.VM.CallerAddress, CallerAddress: n.VM.CallerAddress,
+		Platform: c.Platform.Address, LocateTTL: c.Spec.LocateTTL.String()})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	n.settings = filepath.Join(c.dir, n.VM.ID+".toml")
+	if err := os.WriteFile(n.settings, text, 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// start starts the node's process, again after it has ended.
+func (n *Node) start() {
+	n.cluster.t.Helper()
+	n.Process = start(n.cluster.t, n.VM.ID, "cyclamenstream", "node", "--settings", n.settings)
+	n.cluster.Network.register(n.Process)
+}
+
+// Restart starts the node again after it was killed or has ended.
+func (n *Node) Restart() {
+	n.cluster.t.Helper()
+	n.start()
+}
+
+// operatorLimit bounds one call of an operator; it covers the node's own calls to the store.
+const operatorLimit = 6 * time.Second
+
+// Status returns the node's view of the tier.
+func (n *Node) Status() (operator.Status, error) {
+	var s operator.Status
+	return s, n.admin(http.MethodGet, "status", nil, &s)
+}
+
+// Change sends an operator's change to this node, once.
+func (n *Node) Change(change config.Change) (operator.ChangeResult, error) {
+	var r operator.ChangeResult
+	body, err := json.Marshal(change)
+	if err != nil {
+		return r, err
+	}
+	return r, n.admin(http.MethodPost, "changes", body, &r)
+}
+
+// admin calls the operators' interface. Outcomes other than "accepted" may come with any status, so the body decides.
+func (n *Node) admin(method, path string, body []byte, value any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), operatorLimit)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+n.VM.CallerAddress+"/v1/admin/"+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := callerTransport.RoundTrip(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if err := json.NewDecoder(response.Body).Decode(value); err != nil {
+		return fmt.Errorf("%s %s: %s: %w", method, path, response.Status, err)
+	}
+	return nil
+}
+
+// RunningNodes returns the nodes whose process runs, in order of VM.
+func (c *Cluster) RunningNodes() []*Node {
+	var running []*Node
+	for _, vm := range slices.Sorted(maps.Keys(c.Nodes)) {
+		if n := c.Nodes[vm]; n.Process != nil && n.Running() {
+			running = append(running, n)
+		}
+	}
+	return running
+}
+
+// Await fails the test unless the condition becomes true within the limit; it returns how long that took.
+func (c *Cluster) Await(limit time.Duration, what string, condition func() bool) time.Duration {
+	c.t.Helper()
+	const interval = 20 * time.Millisecond
+	for begin := time.Now(); ; time.Sleep(interval) {
+		if condition() {
+			return time.Since(begin)
+		}
+		if time.Since(begin) > limit {
+			c.t.Fatalf("not within %v: %s", limit, what)
+		}
+	}
+}
+
+// AwaitServing waits until every running node sees every running node alive and is fresh.
+func (c *Cluster) AwaitServing() {
+	c.t.Helper()
+	c.Await(startLimit, "all nodes serve and see each other", func() bool {
+		running := c.RunningNodes()
+		return !slices.ContainsFunc(running, func(n *Node) bool {
+			s, err := n.Status()
+			alive := 0
+			for _, other := range s.Nodes {
+				if other.Alive {
+					alive++
+				}
+			}
+			return err != nil || !s.Fresh || alive < len(running)
+		})
+	})
+}
+
+// AwaitVersion waits until every running node has at least this version of the configuration in force.
+func (c *Cluster) AwaitVersion(version uint64, limit time.Duration) time.Duration {
+	c.t.Helper()
+	return c.Await(limit, fmt.Sprintf("configuration version %d is in force on all nodes", version), func() bool {
+		return !slices.ContainsFunc(c.RunningNodes(), func(n *Node) bool {
+			s, err := n.Status()
+			return err != nil || s.ConfigVersion < version
+		})
+	})
+}
+
+// Apply has an operator make a change and returns its version. It is resent to the nodes in turn, with the same
+// identifier, until it is accepted.
+func (c *Cluster) Apply(change config.Change) uint64 {
+	c.t.Helper()
+	if change.ID == "" {
+		c.mu.Lock()
+		c.changes++
+		change.ID = fmt.Sprintf("change-%d", c.changes)
+		c.mu.Unlock()
+	}
+	var last string
+	for begin := time.Now(); time.Since(begin) < startLimit; time.Sleep(50 * time.Millisecond) {
+		for _, n := range c.RunningNodes() {
+			result, err := n.Change(change)
+			if err == nil && result.Outcome == operator.Accepted {
+				return result.Version
+			}
+			last = fmt.Sprintf("%s: %+v, error %v", n.VM.ID, result, err)
+			if result.Outcome == operator.Rejected || result.Outcome == operator.Conflict {
+				c.t.Fatalf("change %+v: %s", change, last)
+			}
+		}
+	}
+	c.t.Fatalf("change %+v was not accepted within %v: %s", change, startLimit, last)
+	return 0
+}
+
+// Owner returns the running node that owns the service, as it says itself; nil if none does.
+func (c *Cluster) Owner(service string) *Node {
+	for _, n := range c.RunningNodes() {
+		s, err := n.Status()
+		if err != nil {
+			continue
+		}
+		for _, state := range s.Nodes {
+			if state.VM == n.VM.ID && slices.Contains(state.Owned, service) {
+				return n
+			}
+		}
+	}
+	return nil
+}
+
+// AwaitOwner waits until a running node owns the service and returns it.
+func (c *Cluster) AwaitOwner(service string) *Node {
+	c.t.Helper()
+	var owner *Node
+	c.Await(startLimit, "a node owns "+service, func() bool {
+		owner = c.Owner(service)
+		return owner != nil
+	})
+	return owner
+}
--- /dev/null
+++ b/internal/proctest/harness_test.go
@@ -0,0 +1,148 @@
+package proctest
+
+import (
+	"io"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cyclamenstream/internal/standin/leaf"
+)
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	Cleanup()
+	os.Exit(code)
+}
+
+// evidence returns one correct answer to a query of two shards, and the leaf's log that goes with it.
+func evidence() Evidence {
+	q := Query{Caller: "c", ID: "q1", Service: "s", Payload: []byte("p1"), NonIdempotent: true}
+	answer := &Answer{RequestID: "q1", Service: "s", Snapshot: "a", Verdict: Completed,
+		Coverage: Coverage{Percent: 75, Total: 2, Covered: 1.5}}
+	var log []leaf.Execution
+	for shard, covered := range []float64{1, 0.5} {
+		data := leaf.Data("s", "a", uint32(shard), q.Payload)
+		answer.Results = append(answer.Results, Result{Shard: uint32(shard), Data: data, Covered: covered})
+		log = append(log, leaf.Execution{ID: "call" + string(rune('0'+shard)), Service: "s", Payload: q.Payload, Shard: uint32(shard),
+			Snapshot: "a", Start: time.Now(), Outcome: leaf.Done, Covered: covered, Concurrent: 1, Cold: shard == 0})
+	}
+	return Evidence{Attempts: []Attempt{{Query: q, Verdict: Completed, Answer: answer}},
+		Executions: map[string][]leaf.Execution{"l1": log}, Leaves: map[string]leaf.Config{"l1": {Slots: 2, ColdSlots: 1}},
+		ShardCounts: map[snapshotKey]uint32{{"s", "a"}: 2}}
+}
+
+// Guards against a check of the process tests that no fault can fail.
+func TestViolations(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*Evidence, *Answer)
+		want   string // part of the violation; empty for none
+	}{
+		{"a correct answer", func(*Evidence, *Answer) {}, ""},
+		{"a result of another snapshot", func(_ *Evidence, a *Answer) { a.Results[1].Data = leaf.Data("s", "b", 1, []byte("p1")) }, "has the data"},
+		{"a result of another request", func(_ *Evidence, a *Answer) { a.Results[1].Data = leaf.Data("s", "a", 1, []byte("p2")) }, "has the data"},
+		{"an answer to another request", func(_ *Evidence, a *Answer) { a.RequestID = "q2" }, "it is for request"},
+		{"a share that no leaf covered", func(_ *Evidence, a *Answer) { a.Results[1].Covered = 1 }, "no leaf covered"},
+		{"coverage above the results", func(_ *Evidence, a *Answer) { a.Coverage.Covered = 2 }, "coverage says 2 of 2"},
+		{"percent rounded up", func(_ *Evidence, a *Answer) { a.Coverage.Percent = 75.01 }, "coverage says 75.01%"},
+		{"a missing shard left out", func(_ *Evidence, a *Answer) { a.Results = a.Results[:1] }, "missing [1]"},
+		{"a result given twice", func(_ *Evidence, a *Answer) { a.Results = append(a.Results, a.Results[1]) }, "repeated"},
+		{"a snapshot that does not exist", func(_ *Evidence, a *Answer) { a.Snapshot = "b" }, "does not exist"},
+		{"a verdict that does not fit", func(_ *Evidence, a *Answer) { a.Verdict = MayHaveRun }, "its verdict is"},
+		{"not run, but it ran", func(e *Evidence, _ *Answer) { e.Attempts[0].Verdict = NotRun }, "but ran"},
+		{"a second run of a non-idempotent request", func(e *Evidence, _ *Answer) {
+			again := e.Executions["l1"][0]
+			again.ID = "call9"
+			e.Executions["l2"] = []leaf.Execution{again}
+			e.Leaves["l2"] = e.Leaves["l1"]
+		}, "ran twice"},
+		{"a second run under another payload", func(e *Evidence, _ *Answer) {
+			again, resent := e.Executions["l1"][0], e.Attempts[0]
+			again.ID, again.Payload = "call9", []byte("p1 again")
+			resent.Answer, resent.Verdict, resent.Query.Payload = nil, MayHaveRun, again.Payload
+			e.Executions["l1"] = append(e.Executions["l1"], again)
+			e.Attempts = append(e.Attempts, resent)
+		}, "ran twice"},
+		{"a call identifier used twice", func(e *Evidence, _ *Answer) { e.Executions["l1"][1].ID = "call0" }, "call call0 ran on"},
+		{"more than the cold slots", func(e *Evidence, _ *Answer) { e.Executions["l1"][0].Concurrent = 2 }, "cold, had 2 calls"},
+		{"more than the slots", func(e *Evidence, _ *Answer) { e.Executions["l1"][1].Concurrent = 3 }, "warm, had 3 calls"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			e := evidence()
+			test.change(&e, e.Attempts[0].Answer)
+			found := strings.Join(e.Violations(), "\n")
+			if test.want == "" {
+				qt.Assert(t, found, qt.Equals, "")
+			} else {
+				qt.Assert(t, strings.Contains(found, test.want), qt.IsTrue, qt.Commentf("%q", found))
+			}
+		})
+	}
+}
+
+// Guards against faults of the proxy that do not act, which would make every test of a partition pass.
+func TestProxy(t *testing.T) {
+	echo, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer echo.Close()
+	go func() {
+		for {
+			c, err := echo.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(c, c); c.Close() }()
+		}
+	}()
+	const to, patience = "echo", 100 * time.Millisecond
+	n := newNetwork(t)
+	address := n.proxy(to, echo.Addr().String())
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", address)
+		qt.Assert(t, err, qt.IsNil)
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+	exchange := func(c net.Conn, send string) (string, error) {
+		_, _ = c.Write([]byte(send))
+		buffer := make([]byte, 16)
+		_ = c.SetReadDeadline(time.Now().Add(patience))
+		size, err := c.Read(buffer)
+		return string(buffer[:size]), err
+	}
+	open := dial()
+	got, err := exchange(open, "one")
+	qt.Assert(t, got, qt.Equals, "one", qt.Commentf("%v", err))
+
+	for _, held := range []Rule{{HoldForward: true}, {HoldBack: true}} {
+		n.Set("", to, held)
+		_, err = exchange(open, "two")
+		qt.Assert(t, err, qt.ErrorIs, os.ErrDeadlineExceeded)
+		n.Heal()
+		got, err = exchange(open, "")
+		qt.Assert(t, got, qt.Equals, "two", qt.Commentf("held bytes are late, not lost: %v", err))
+	}
+	n.Set(Any, to, Rule{Delay: patience / 4})
+	start := time.Now()
+	got, err = exchange(open, "three")
+	qt.Assert(t, got, qt.Equals, "three", qt.Commentf("%v", err))
+	qt.Assert(t, time.Since(start) >= patience/2, qt.IsTrue)
+
+	n.Set(Any, to, Rule{CloseAfter: 3})
+	got, err = exchange(dial(), "four")
+	qt.Assert(t, got, qt.Equals, "", qt.Commentf("%v", err))
+	n.Set(Any, to, Rule{Cut: true})
+	_, err = exchange(open, "five")
+	qt.Assert(t, err, qt.IsNotNil)
+	_, err = exchange(dial(), "six")
+	qt.Assert(t, err, qt.IsNotNil)
+	n.Heal()
+	got, err = exchange(dial(), "seven")
+	qt.Assert(t, got, qt.Equals, "seven", qt.Commentf("%v", err))
+}
--- /dev/null
+++ b/internal/proctest/load.go
@@ -0,0 +1,250 @@
+package proctest
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Load describes callers that send queries at a fixed rate, whether or not earlier ones are answered.
+type Load struct {
+	Service string
+	Profile string
+	// Rate is the number of queries per second; the gaps between them are exponentially distributed.
+	Rate float64
+	// Timeout is how long a caller waits for one query, all attempts together.
+	Timeout time.Duration
+	// Attempts bounds how often a query is sent when nodes answer that it did not run; 0 means 1.
+	Attempts int
+	// Shards limits the queries; empty means all shards.
+	Shards        []uint32
+	NonIdempotent bool
+	// ResendAll makes callers resend queries that may have run too, with the same identifier.
+	ResendAll bool
+	// Prefix begins each payload.
+	Prefix string
+	// Nodes limits the addresses that callers use; empty means those that nodes name.
+	Nodes []*Node
+	// Seed fixes the times and the order of addresses.
+	Seed uint64
+}
+
+// Run is a load under way.
+type Run struct {
+	cluster *Cluster
+	load    Load
+	locator *locator
+	stop    chan struct{}
+	done    chan struct{}
+	name    string
+
+	mu       sync.Mutex
+	attempts []Attempt
+	requests []Request
+}
+
+// Request is one query with all its attempts.
+type Request struct {
+	ID string
+	// Start is when the query was due.
+	Start, End time.Time
+	Attempts   int
+	// Last is the last attempt.
+	Last Attempt
+}
+
+// Latency is the time from when the query was due until its last answer.
+func (r *Request) Latency() time.Duration { return r.End.Sub(r.Start) }
+
+// StartLoad starts callers; Stop ends them.
+func (c *Cluster) StartLoad(l Load) *Run {
+	c.mu.Lock()
+	c.changes++
+	name := fmt.Sprintf("load%d", c.changes)
+	c.mu.Unlock()
+	r := &Run{cluster: c, load: l, locator: &locator{service: l.Service}, stop: make(chan struct{}), done: make(chan struct{}), name: name}
+	nodes := l.Nodes
+	if len(nodes) == 0 {
+		nodes = c.RunningNodes()
+	}
+	for _, n := range nodes {
+		r.locator.known = append(r.locator.known, n.VM.CallerAddress)
+	}
+	if len(l.Nodes) > 0 {
+		r.locator.until = time.Now().Add(time.Hour) // only the given nodes are used
+	}
+	go r.generate()
+	c.t.Cleanup(func() { r.Stop() })
+	return r
+}
+
+// generate starts each query when it is due.
+func (r *Run) generate() {
+	defer close(r.done)
+	random := rand.New(rand.NewPCG(r.load.Seed, 1))
+	var queries sync.WaitGroup
+	defer queries.Wait()
+	due := time.Now()
+	for i := 0; ; i++ {
+		due = due.Add(time.Duration(random.ExpFloat64() / r.load.Rate * float64(time.Second)))
+		select {
+		case <-r.stop:
+			return
+		case <-time.After(time.Until(due)):
+		}
+		start, rotate := due, random.IntN(len(r.locator.known))
+		queries.Go(func() { r.query(fmt.Sprintf("%s-%d", r.name, i), start, rotate) })
+	}
+}
+
+// retryPause lets the state that caused a refusal change before the next attempt.
+const retryPause = 20 * time.Millisecond
+
+// query sends one query, again while nodes say that it did not run.
+func (r *Run) query(id string, start time.Time, rotate int) {
+	ctx := context.Background()
+	deadline := start.Add(r.load.Timeout)
+	request := Request{ID: id, Start: start}
+	for request.Attempts < max(1, r.load.Attempts) {
+		left := time.Until(deadline)
+		if left < time.Millisecond {
+			break
+		}
+		addresses := r.locator.addresses(ctx)
+		if len(r.load.Nodes) > 0 {
+			addresses = slices.Concat(addresses[rotate:], addresses[:rotate])
+		}
+		a := Ask(ctx, addresses[request.Attempts%len(addresses)], r.body(id, request.Attempts), left)
+		request.Attempts++
+		request.Last = a
+		r.keep(a)
+		if a.Answer != nil || (a.Verdict != NotRun && !r.load.ResendAll) {
+			break
+		}
+		r.locator.forget()
+		time.Sleep(retryPause)
+	}
+	request.End = time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.requests = append(r.requests, request)
+}
+
+// body returns the query of an attempt. Its payload names the attempt, so that leaves' logs tell the attempts apart.
+func (r *Run) body(id string, attempt int) Query {
+	requestID := id
+	if !r.load.NonIdempotent {
+		requestID = fmt.Sprintf("%s.%d", id, attempt)
+	}
+	return Query{Caller: "caller-" + r.name, ID: requestID, Service: r.load.Service, Profile: r.load.Profile, Shards: r.load.Shards,
+		Payload: fmt.Appendf(nil, "%s%s.%d", r.load.Prefix, id, attempt), NonIdempotent: r.load.NonIdempotent}
+}
+
+func (r *Run) keep(a Attempt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.attempts = append(r.attempts, a)
+}
+
+// Stop sends no more queries and waits for the answers to those under way.
+func (r *Run) Stop() {
+	select {
+	case <-r.stop:
+	default:
+		close(r.stop)
+	}
+	<-r.done
+}
+
+// Attempts returns all attempts so far.
+func (r *Run) Attempts() []Attempt {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.attempts)
+}
+
+// Requests returns the finished requests so far, in order of their start.
+func (r *Run) Requests() []Request {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	sorted := slices.Clone(r.requests)
+	slices.SortFunc(sorted, func(a, b Request) int { return a.Start.Compare(b.Start) })
+	return sorted
+}
+
+// Summary tells how a load was served.
+type Summary struct {
+	Requests, Complete, Partial, NotRun, MayHaveRun int
+	// P50, P95 and P99 are latencies of the answered requests, timed from when they were due.
+	P50, P95, P99 time.Duration
+	// LeafRequests is the number of requests to leaves that answers report.
+	LeafRequests int
+	// Outage is the longest time in which requests were due and none of them was answered in full.
+	Outage time.Duration
+	// Codes counts the errors of the requests' last attempts.
+	Codes map[string]int
+}
+
+// maxRecorded is the longest latency that the histogram distinguishes.
+const maxRecorded = int64(2 * time.Minute)
+
+// Summary returns how the finished requests were served.
+func (r *Run) Summary() Summary {
+	s := Summary{Codes: map[string]int{}}
+	latencies := hdrhistogram.New(1, maxRecorded, 3)
+	var failing time.Time
+	for _, q := range r.Requests() {
+		s.Requests++
+		s.add(q)
+		if q.Last.Answer != nil {
+			_ = latencies.RecordValue(min(int64(q.Latency()), maxRecorded))
+		}
+		switch {
+		case q.Last.Complete():
+			failing = time.Time{}
+		case failing.IsZero():
+			failing = q.Start
+		}
+		if !failing.IsZero() {
+			s.Outage = max(s.Outage, q.End.Sub(failing))
+		}
+	}
+	quantile := func(p float64) time.Duration { return time.Duration(latencies.ValueAtPercentile(p)) }
+	s.P50, s.P95, s.P99 = quantile(50), quantile(95), quantile(99)
+	return s
+}
+
+func (s *Summary) add(q Request) {
+	switch {
+	case q.Last.Complete():
+		s.Complete++
+	case q.Last.Answer != nil:
+		s.Partial++
+	case q.Last.Verdict == NotRun:
+		s.NotRun++
+	default:
+		s.MayHaveRun++
+	}
+	if q.Last.Answer != nil {
+		s.LeafRequests += q.Last.Answer.LeafRequests
+	} else {
+		s.Codes[q.Last.Code]++
+	}
+}
+
+// String returns the summary on one line.
+func (s Summary) String() string {
+	var codes []string
+	for code, n := range s.Codes {
+		codes = append(codes, fmt.Sprintf("%s %d", code, n))
+	}
+	slices.Sort(codes)
+	return fmt.Sprintf("%d requests: %d complete, %d partial, %d not run, %d may have run; p50 %v, p95 %v, p99 %v; %d leaf requests; longest time without a complete answer %v; errors: %s",
+		s.Requests, s.Complete, s.Partial, s.NotRun, s.MayHaveRun, s.P50, s.P95, s.P99, s.LeafRequests, s.Outage, strings.Join(codes, ", "))
+}
--- /dev/null
+++ b/internal/proctest/process.go
@@ -0,0 +1,155 @@
+package proctest
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"os/exec"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// maxLogLines bounds the captured log of a process; the oldest lines are dropped.
+const maxLogLines = 4000
+
+// failureLogLines is the number of lines of each process that a failed test prints.
+const failureLogLines = 40
+
+// Process is a running program.
+type Process struct {
+	Name string
+
+	t         testing.TB
+	cmd       *exec.Cmd
+	firstLine chan string // the first line of standard output
+	exited    chan struct{}
+
+	mu    sync.Mutex
+	lines []string
+}
+
+// start runs a program. It is killed at the end of the test, or if the test binary ends.
+func start(t testing.TB, name, program string, args ...string) *Process {
+	t.Helper()
+	path, err := binary(program)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &Process{Name: name, t: t, cmd: exec.Command(path, args...), firstLine: make(chan string, 1), exited: make(chan struct{})}
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	stdout, err := p.cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	stderr, err := p.cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatalf("start of %s: %v", name, err)
+	}
+	var readers sync.WaitGroup
+	readers.Go(func() { p.capture(stdout, p.firstLine) })
+	readers.Go(func() { p.capture(stderr, nil) })
+	go func() {
+		readers.Wait()
+		_ = p.cmd.Wait()
+		close(p.exited)
+	}()
+	t.Cleanup(p.stop)
+	return p
+}
+
+func (p *Process) capture(r io.Reader, first chan<- string) {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, 1<<20)
+	for scanner.Scan() {
+		if first != nil {
+			first <- scanner.Text()
+			first = nil
+		}
+		p.mu.Lock()
+		p.lines = append(p.lines, scanner.Text())
+		if len(p.lines) > maxLogLines {
+			p.lines = p.lines[len(p.lines)-maxLogLines:]
+		}
+		p.mu.Unlock()
+	}
+}
+
+func (p *Process) stop() {
+	if p.Running() {
+		p.Signal(syscall.SIGKILL)
+	}
+	<-p.exited
+	if p.t.Failed() {
+		lines := p.Log()
+		p.t.Logf("log of %s, last lines:\n%s", p.Name, strings.Join(lines[max(0, len(lines)-failureLogLines):], "\n"))
+	}
+}
+
+// PID returns the process identifier.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
+// Running reports whether the process has not ended.
+func (p *Process) Running() bool {
+	select {
+	case <-p.exited:
+		return false
+	default:
+		return true
+	}
+}
+
+// Log returns the captured lines of both outputs.
+func (p *Process) Log() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]string(nil), p.lines...)
+}
+
+// Signal sends a signal to this process.
+func (p *Process) Signal(s syscall.Signal) {
+	if err := p.cmd.Process.Signal(s); err != nil && p.Running() {
+		p.t.Errorf("signal %v to %s: %v", s, p.Name, err)
+	}
+}
+
+// Kill ends the process at once and waits until it is gone.
+func (p *Process) Kill() {
+	p.Signal(syscall.SIGKILL)
+	<-p.exited
+}
+
+// Pause stops the process until Resume.
+func (p *Process) Pause() { p.Signal(syscall.SIGSTOP) }
+
+// Resume ends Pause.
+func (p *Process) Resume() { p.Signal(syscall.SIGCONT) }
+
+// Terminate asks the process to end and returns its exit code; it fails if the process runs on after the limit.
+func (p *Process) Terminate(limit time.Duration) (int, error) {
+	p.Signal(syscall.SIGTERM)
+	select {
+	case <-p.exited:
+		return p.cmd.ProcessState.ExitCode(), nil
+	case <-time.After(limit):
+		return 0, fmt.Errorf("%s runs %v after SIGTERM", p.Name, limit)
+	}
+}
+
+// first returns the first line of standard output.
+func (p *Process) first(limit time.Duration) (string, error) {
+	select {
+	case line := <-p.firstLine:
+		return line, nil
+	case <-p.exited:
+		return "", errors.New(p.Name + " ended at its start")
+	case <-time.After(limit):
+		return "", fmt.Errorf("%s printed nothing within %v", p.Name, limit)
+	}
+}
--- /dev/null
+++ b/internal/proctest/proxy.go
@@ -0,0 +1,311 @@
+package proctest
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Rule is what happens to the connections from one process to another. The zero value passes everything.
+type Rule struct {
+	// Delay is added in each direction.
+	Delay time.Duration
+	// Cut ends open connections and refuses new ones.
+	Cut bool
+	// HoldForward and HoldBack hold the bytes from or to the process that connected. As in a network partition, they
+	// arrive late if the connection outlasts the fault.
+	HoldForward, HoldBack bool
+	// CloseAfter ends each connection once it has passed that many bytes in both directions together; 0 means never.
+	CloseAfter int64
+}
+
+// Any stands for every process in a rule's link.
+const Any = "*"
+
+type link struct{ from, to string }
+
+// Network holds the proxies in front of processes and the rules of the links between them. It is safe for concurrent
+// use.
+type Network struct {
+	t testing.TB
+
+	mu      sync.Mutex
+	rules   map[link]Rule
+	changed chan struct{}
+	pids    map[int]string // process identifier to name
+}
+
+func newNetwork(t testing.TB) *Network {
+	return &Network{t: t, rules: map[link]Rule{}, changed: make(chan struct{}), pids: map[int]string{}}
+}
+
+func (n *Network) register(p *Process) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.pids[p.PID()] = p.Name
+}
+
+// Set sets the rule for connections that process from opens to process to; either may be Any.
+func (n *Network) Set(from, to string, r Rule) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.rules[link{from, to}] = r
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// Partition holds everything between the two groups, in both directions, until Heal.
+func (n *Network) Partition(a, b []string) {
+	for _, x := range a {
+		for _, y := range b {
+			n.Set(x, y, Rule{HoldForward: true, HoldBack: true})
+			n.Set(y, x, Rule{HoldForward: true, HoldBack: true})
+		}
+	}
+}
+
+// Heal removes all rules.
+func (n *Network) Heal() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.rules = map[link]Rule{}
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// rule returns the most specific rule of a link and a channel that is closed at the next change.
+func (n *Network) rule(l link) (Rule, <-chan struct{}) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, candidate := range []link{l, {l.from, Any}, {Any, l.to}, {Any, Any}} {
+		if r, ok := n.rules[candidate]; ok {
+			return r, n.changed
+		}
+	}
+	return Rule{}, n.changed
+}
+
+// proxy listens in front of process to, whose own address is target, and returns its address.
+func (n *Network) proxy(to, target string) string {
+	n.t.Helper()
+	address, err := freePort()
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		n.t.Fatalf("proxy of %s: %v", to, err)
+	}
+	n.t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go n.pass(c, to, target)
+		}
+	}()
+	return address
+}
+
+// pass connects c with the target until either side or a rule ends it.
+func (n *Network) pass(c net.Conn, to, target string) {
+	defer c.Close()
+	l := link{n.owner(c), to}
+	if r, _ := n.rule(l); r.Cut {
+		return
+	}
+	server, err := net.Dial("tcp", target)
+	if err != nil {
+		return
+	}
+	p := &pipe{network: n, link: l, client: c, server: server, ended: make(chan struct{})}
+	defer p.end()
+	go p.watchCut()
+	var pumps sync.WaitGroup
+	pumps.Go(func() { p.pump(server, c, func(r Rule) bool { return r.HoldForward }) })
+	pumps.Go(func() { p.pump(c, server, func(r Rule) bool { return r.HoldBack }) })
+	pumps.Wait()
+}
+
+// pipe is one proxied connection.
+type pipe struct {
+	network        *Network
+	link           link
+	client, server net.Conn
+	once           sync.Once
+	ended          chan struct{}
+
+	mu     sync.Mutex
+	passed int64
+}
+
+func (p *pipe) end() {
+	p.once.Do(func() {
+		close(p.ended)
+		_ = p.client.Close()
+		_ = p.server.Close()
+	})
+}
+
+// watchCut ends the connection as soon as its rule says so.
+func (p *pipe) watchCut() {
+	for {
+		r, changed := p.network.rule(p.link)
+		if r.Cut {
+			p.end()
+			return
+		}
+		select {
+		case <-changed:
+		case <-p.ended:
+			return
+		}
+	}
+}
+
+type chunk struct {
+	data []byte // empty at the end of the stream
+	due  time.Time
+}
+
+const (
+	chunkBytes   = 32 << 10
+	queuedChunks = 64
+)
+
+// pump passes bytes from src to dst under the link's rule. The end of the stream is passed like bytes.
+func (p *pipe) pump(dst, src net.Conn, held func(Rule) bool) {
+	queue := make(chan chunk, queuedChunks)
+	go p.read(src, queue)
+	for c := range queue {
+		if !p.sleepUntil(c.due) || !p.awaitRelease(held) || len(c.data) == 0 {
+			break
+		}
+		data, last := p.budget(c.data)
+		if _, err := dst.Write(data); err != nil || last {
+			break
+		}
+	}
+	p.end()
+}
+
+func (p *pipe) read(src net.Conn, queue chan<- chunk) {
+	defer close(queue)
+	for {
+		buffer := make([]byte, chunkBytes)
+		size, err := src.Read(buffer)
+		r, _ := p.network.rule(p.link)
+		due := time.Now().Add(r.Delay)
+		var parts []chunk
+		if size > 0 {
+			parts = append(parts, chunk{buffer[:size], due})
+		}
+		if err != nil {
+			parts = append(parts, chunk{nil, due})
+		}
+		for _, part := range parts {
+			select {
+			case queue <- part:
+			case <-p.ended:
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (p *pipe) sleepUntil(due time.Time) bool {
+	if time.Until(due) <= 0 {
+		return true
+	}
+	select {
+	case <-time.After(time.Until(due)):
+		return true
+	case <-p.ended:
+		return false
+	}
+}
+
+// awaitRelease waits while the link's rule holds this direction.
+func (p *pipe) awaitRelease(held func(Rule) bool) bool {
+	for {
+		r, changed := p.network.rule(p.link)
+		if !held(r) {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-p.ended:
+			return false
+		}
+	}
+}
+
+// budget returns the part of data that may still pass and whether it is the last.
+func (p *pipe) budget(data []byte) ([]byte, bool) {
+	r, _ := p.network.rule(p.link)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r.CloseAfter > 0 && p.passed+int64(len(data)) >= r.CloseAfter {
+		data = data[:max(0, r.CloseAfter-p.passed)]
+		p.passed = r.CloseAfter
+		return data, true
+	}
+	p.passed += int64(len(data))
+	return data, false
+}
+
+// owner returns the name of the harness's process that opened the connection, or "" for the test itself. All processes
+// share one address, so the connection's socket is looked up among their open files.
+func (n *Network) owner(c net.Conn) string {
+	inode, err := socketInode(c.RemoteAddr().(*net.TCPAddr).Port, c.LocalAddr().(*net.TCPAddr).Port)
+	if err != nil {
+		return ""
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for pid, name := range n.pids {
+		files, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", pid))
+		for _, file := range files {
+			if target, _ := os.Readlink(file); target == "socket:["+inode+"]" {
+				return name
+			}
+		}
+	}
+	return ""
+}
+
+// socketInode finds the socket with the given local and remote ports in the kernel's table of TCP connections.
+func socketInode(local, remote int) (string, error) {
+	table, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return "", err
+	}
+	const localField, remoteField, inodeField = 1, 2, 9
+	for _, line := range strings.Split(string(table), "\n")[1:] {
+		f := strings.Fields(line)
+		if len(f) > inodeField && hexPort(f[localField]) == local && hexPort(f[remoteField]) == remote {
+			return f[inodeField], nil
+		}
+	}
+	return "", fmt.Errorf("no connection from port %d to %d", local, remote)
+}
+
+func hexPort(address string) int {
+	_, port, _ := strings.Cut(address, ":")
+	v, err := strconv.ParseInt(port, 16, 32)
+	if err != nil {
+		return -1
+	}
+	return int(v)
+}
--- /dev/null
+++ b/internal/proctest/spec.go
@@ -0,0 +1,81 @@
+package proctest
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"cyclamenstream/api/backend"
+	"cyclamenstream/api/config"
+	"cyclamenstream/api/platform"
+	"cyclamenstream/internal/standin/leaf"
+)
+
+// Names in the standard specification.
+const (
+	// Service is a small service as in the requirements: 3 leaves with 3 slots each and about 30 connections.
+	Service = "lookup"
+	// Profile is its profile.
+	Profile = "standard"
+	// FirstSnapshot is the snapshot that the leaves hold at first, with FirstShards shards, each on every leaf.
+	FirstSnapshot = "snap-1"
+	FirstShards   = 4
+)
+
+// Zones are the availability zones of the standard specification; each is in a region of its own.
+var Zones = []string{"z1", "z2", "z3"}
+
+// ThreeZones returns the standard specification: a node and a leaf in each of three zones, one service.
+func ThreeZones() Spec {
+	s := Spec{
+		LocateTTL: 500 * time.Millisecond,
+		Profiles:  map[string]config.Profile{Profile: StandardProfile()},
+		Services: map[string]config.Service{
+			Service: {Profile: Profile, Slots: 3, ColdSlots: 1, Connections: 30}},
+	}
+	for i, zone := range Zones {
+		region := fmt.Sprintf("r%d", i+1)
+		s.Nodes = append(s.Nodes, platform.VM{ID: fmt.Sprintf("n%d", i+1), Zone: zone, Region: region,
+			Kind: platform.KindNode, State: platform.StateLive})
+		s.Leaves = append(s.Leaves, LeafSpec{
+			VM: platform.VM{ID: fmt.Sprintf("l%d", i+1), Zone: zone, Region: region, Kind: platform.KindBackend,
+				State: platform.StateLive, Service: Service},
+			Config: StandardLeaf(uint64(i)),
+		})
+	}
+	return s
+}
+
+// StandardProfile returns the profile of the standard specification.
+func StandardProfile() config.Profile {
+	return config.Profile{Deadline: config.Duration(3 * time.Second), LeafTimeout: config.Duration(500 * time.Millisecond),
+		HedgeBudget: 0.05, RetryBudget: 0.1, Priority: 5}
+}
+
+// StandardLeaf returns the nature of a leaf of the standard specification. A new connection costs 6 ms, as small
+// services do; cold calls take three times as long as warm ones.
+func StandardLeaf(seed uint64) leaf.Config {
+	return leaf.Config{Slots: 3, ColdSlots: 1, ColdCalls: 8, ColdTime: config.Duration(300 * time.Millisecond),
+		Connections: 30, ConnectionCost: config.Duration(6 * time.Millisecond), Latency: config.Duration(2 * time.Millisecond),
+		ColdFactor: 3, Seed: seed, RestartAfter: config.Duration(200 * time.Millisecond),
+		Snapshots: []backend.SnapshotInfo{AllShards(FirstSnapshot, 1, FirstShards)}}
+}
+
+// AllShards describes a snapshot of which a leaf holds every shard.
+func AllShards(id string, sequence uint64, count uint32) backend.SnapshotInfo {
+	s := leaf.Snapshot(id, sequence, count)
+	for shard := range count {
+		s.Shards = append(s.Shards, shard)
+	}
+	return s
+}
+
+// NodesOf returns the running nodes in a zone.
+func (c *Cluster) NodesOf(zone string) []*Node {
+	return slices.DeleteFunc(c.RunningNodes(), func(n *Node) bool { return n.VM.Zone != zone })
+}
+
+// WorkAfter returns the executions that began on a leaf after the given time.
+func (c *Cluster) WorkAfter(vm string, t time.Time) []leaf.Execution {
+	return slices.DeleteFunc(c.Executions()[vm], func(x leaf.Execution) bool { return x.Start.Before(t) })
+}
