--- a/internal/proctest/cluster.go
+++ b/internal/proctest/cluster.go
@@ -269,9 +269,15 @@
 	})
 }
 
-// Apply has an operator make a change and returns its version. It is resent to the nodes in turn, with the same
+// Apply has an operator make a change and returns its version. It is resent to the running nodes in turn, with the same
 // identifier, until it is accepted.
 func (c *Cluster) Apply(change config.Change) uint64 {
+	c.t.Helper()
+	return c.ApplyOn(change, c.RunningNodes()...)
+}
+
+// ApplyOn is Apply on the given nodes.
+func (c *Cluster) ApplyOn(change config.Change, nodes ...*Node) uint64 {
 	c.t.Helper()
 	if change.ID == "" {
 		c.mu.Lock()
@@ -281,7 +287,7 @@
 	}
 	var last string
 	for begin := time.Now(); time.Since(begin) < startLimit; time.Sleep(50 * time.Millisecond) {
-		for _, n := range c.RunningNodes() {
+		for _, n := range nodes {
 			result, err := n.Change(change)
 			if err == nil && result.Outcome == operator.Accepted {
 				return result.Version
--- /dev/null
+++ b/internal/proctest/faults_test.go
@@ -0,0 +1,93 @@
+package proctest_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cyclamenstream/api/verdict"
+	"cyclamenstream/internal/proctest"
+	"cyclamenstream/internal/standin/leaf"
+	standin "cyclamenstream/internal/standin/platform"
+)
+
+// Guards against a tier that keeps its promises by refusing everything: while a fault lasts, and after it, the load is
+// served. The time without complete answers is logged; its bound is the time in which the design page says that another
+// node takes over (lease 2 s, then leaf timeout and grace 2.25 s), with 2 s for elections and cold starts.
+func TestServiceUnderFaults(t *testing.T) {
+	const takeOver = 6250 * time.Millisecond
+	tests := []struct {
+		name   string
+		begin  func(*proctest.Cluster)
+		end    func(*proctest.Cluster)
+		outage time.Duration
+	}{
+		{"the store is down", func(c *proctest.Cluster) {
+			c.Platform.Faults(func(f *standin.Faults) { f.Down = true })
+		}, func(c *proctest.Cluster) {
+			c.Platform.Faults(func(f *standin.Faults) { f.Down = false })
+		}, time.Second},
+		{"the store hangs", func(c *proctest.Cluster) {
+			c.Platform.Faults(func(f *standin.Faults) { f.Hang = true })
+		}, func(c *proctest.Cluster) {
+			c.Platform.Faults(func(f *standin.Faults) { f.Hang = false })
+		}, time.Second},
+		{"a zone is unreachable", func(c *proctest.Cluster) {
+			c.Network.Partition([]string{"n1", "l1"}, []string{"n2", "n3", "l2", "l3", "platform"})
+		}, func(c *proctest.Cluster) { c.Network.Heal() }, takeOver},
+		{"the owner's VM is lost", func(c *proctest.Cluster) { c.AwaitOwner(proctest.Service).Kill() },
+			func(*proctest.Cluster) {}, takeOver},
+		{"a leaf is paused", func(c *proctest.Cluster) { c.Leaves["l1"].Pause() },
+			func(c *proctest.Cluster) { c.Leaves["l1"].Resume() }, 3 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := begin(t, nil)
+			r := c.StartLoad(load())
+			time.Sleep(time.Second)
+			test.begin(c)
+			time.Sleep(7 * time.Second)
+			test.end(c)
+			time.Sleep(2 * time.Second)
+			s := finish(t, c, r)
+			qt.Check(t, s.Outage <= test.outage, qt.IsTrue, qt.Commentf("no complete answer for %v", s.Outage))
+		})
+	}
+}
+
+// Guards against a request that crashes every leaf that runs it when its caller sends it again and again: it is refused
+// on all nodes after the second leaf, and requests that ran beside it are not blamed.
+func TestRequestThatCrashesLeaves(t *testing.T) {
+	const prefix = "crash"
+	c := begin(t, func(s *proctest.Spec) {
+		p := s.Profiles[proctest.Profile]
+		p.HedgeBudget = 0 // a hedge would put the request on two leaves at once
+		s.Profiles[proctest.Profile] = p
+	})
+	for _, l := range c.Leaves {
+		l.Faults(func(f *leaf.Faults) { f.CrashPrefix = prefix })
+	}
+	r := c.StartLoad(load())
+	time.Sleep(2 * time.Second)
+	var sent []proctest.Attempt
+	for i := range 15 {
+		n := c.RunningNodes()[i%len(c.Nodes)]
+		q := proctest.Query{Caller: "c", ID: fmt.Sprint("crash-", i), Service: proctest.Service, Shards: []uint32{0}, Payload: []byte(prefix)}
+		sent = append(sent, proctest.Ask(context.Background(), n.VM.CallerAddress, q, time.Second))
+		time.Sleep(300 * time.Millisecond)
+	}
+	last := sent[len(sent)-1]
+	qt.Check(t, last.Code, qt.Equals, string(verdict.CodeQuarantined))
+	qt.Check(t, last.Verdict, qt.Equals, proctest.NotRun)
+	s := finish(t, c, r)
+	c.VerifyAttempts(sent)
+	crashes := 0
+	for _, l := range c.Leaves {
+		crashes += l.State().Counters.Crashes
+	}
+	qt.Check(t, crashes, qt.Equals, 2)
+	qt.Check(t, s.Codes[string(verdict.CodeQuarantined)], qt.Equals, 0)
+}
--- /dev/null
+++ b/internal/proctest/promise04_zone_test.go
@@ -0,0 +1,74 @@
+package proctest_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cyclamenstream/api/config"
+	"cyclamenstream/internal/proctest"
+	standin "cyclamenstream/internal/standin/platform"
+)
+
+// Guards promise 4, no new work for a zone 3 s after operators took it out, against a store that goes down after the
+// change, a node that was paused during it, and a node cut off from the store and its peers. New work is calls to its
+// leaf, connections to it, and addresses given to callers.
+func TestZoneOut(t *testing.T) {
+	const zone, leaf = "z3", "l3"
+	tests := []struct {
+		name          string
+		before, after func(*proctest.Cluster)
+	}{
+		{"healthy", func(*proctest.Cluster) {}, func(*proctest.Cluster) {}},
+		{"the store goes down after the change", func(*proctest.Cluster) {}, func(c *proctest.Cluster) {
+			c.Platform.Faults(func(f *standin.Faults) { f.Down = true })
+		}},
+		{"a node is paused during the change",
+			func(c *proctest.Cluster) { c.Nodes["n1"].Pause() },
+			func(c *proctest.Cluster) {
+				time.Sleep(noWorkAfter)
+				c.Nodes["n1"].Resume()
+			}},
+		{"a node is cut off during the change",
+			func(c *proctest.Cluster) { c.Network.Partition([]string{"n1"}, []string{"n2", "n3", "platform"}) },
+			func(c *proctest.Cluster) {
+				time.Sleep(noWorkAfter)
+				c.Network.Heal()
+			}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := begin(t, nil)
+			r := c.StartLoad(load())
+			time.Sleep(500 * time.Millisecond)
+			test.before(c)
+			applyOnOthers(c, config.Change{ID: "out", Op: config.OpZoneOut, Name: zone})
+			out := time.Now()
+			test.after(c)
+			time.Sleep(time.Until(out.Add(noWorkAfter)))
+			since, accepted := time.Now(), c.Leaves[leaf].State().Connections.Accepted
+			for time.Since(since) < 1500*time.Millisecond {
+				for _, n := range c.RunningNodes() {
+					ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+					if answer, err := proctest.Locate(ctx, n.VM.CallerAddress, proctest.Service); err == nil {
+						for _, a := range answer.Addresses {
+							qt.Check(t, a, qt.Not(qt.Equals), c.Nodes["n3"].VM.CallerAddress)
+						}
+					}
+					cancel()
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+			wantNoWork(t, c, leaf, since, accepted)
+			s := finish(t, c, r)
+			qt.Check(t, s.Complete > s.Requests/2, qt.IsTrue)
+		})
+	}
+}
+
+// applyOnOthers has an operator make a change on the nodes n2 and n3, since n1 may not answer.
+func applyOnOthers(c *proctest.Cluster, change config.Change) {
+	c.ApplyOn(change, c.Nodes["n2"], c.Nodes["n3"])
+}
--- /dev/null
+++ b/internal/proctest/promise07_atmostonce_test.go
@@ -0,0 +1,48 @@
+package proctest_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cyclamenstream/api/config"
+	"cyclamenstream/api/verdict"
+	"cyclamenstream/internal/proctest"
+	"cyclamenstream/internal/standin/leaf"
+	standin "cyclamenstream/internal/standin/platform"
+)
+
+// Guards promise 7, a request that is not idempotent runs at most once, against callers that send it again to other
+// nodes whatever the answer was, while store answers are lost, answers of leaves come too late and the owner is killed.
+// While the store is down such a request is refused with "not run".
+func TestAtMostOnce(t *testing.T) {
+	c := begin(t, nil)
+	resent := load()
+	resent.NonIdempotent, resent.ResendAll, resent.Attempts = true, true, 4
+	resent.Rate, resent.Nodes = 15, c.RunningNodes()
+	r := c.StartLoad(resent)
+	time.Sleep(time.Second)
+	c.Platform.Faults(func(f *standin.Faults) { f.LoseAfter = 5 })
+	time.Sleep(time.Second)
+	c.Platform.Faults(func(f *standin.Faults) { f.Conflicts, f.LoseBefore = 5, 3 })
+	time.Sleep(time.Second)
+	c.Leaves["l1"].Faults(func(f *leaf.Faults) { f.AnswerDelay = config.Duration(time.Second) })
+	time.Sleep(time.Second)
+	c.Leaves["l1"].Faults(func(f *leaf.Faults) { f.AnswerDelay = 0 })
+	killed := c.AwaitOwner(proctest.Service)
+	killed.Kill()
+	time.Sleep(5 * time.Second)
+	s := finish(t, c, r)
+	qt.Check(t, s.Complete > 0, qt.IsTrue)
+
+	killed.Restart()
+	c.AwaitServing()
+	c.Platform.Faults(func(f *standin.Faults) { f.Down = true })
+	resent.ResendAll, resent.Attempts = false, 1
+	down := c.StartLoad(resent)
+	time.Sleep(2 * time.Second)
+	s = finish(t, c, down)
+	qt.Check(t, s.NotRun, qt.Equals, s.Requests)
+	qt.Check(t, s.Codes[string(verdict.CodeStoreDown)] > 0, qt.IsTrue)
+}
--- /dev/null
+++ b/internal/proctest/promise09_shutdown_test.go
@@ -0,0 +1,32 @@
+package proctest_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cyclamenstream/internal/proctest"
+)
+
+// Guards promise 9, a planned stop aborts no request, against a node that ends with queries under way, drops its
+// services or leaves callers with an address that does not answer. Each node is stopped and started again in turn.
+func TestPlannedStop(t *testing.T) {
+	c := begin(t, nil)
+	r := c.StartLoad(load())
+	time.Sleep(time.Second)
+	for _, n := range c.RunningNodes() {
+		begin := time.Now()
+		code, err := n.Terminate(15 * time.Second)
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, code, qt.Equals, 0)
+		t.Logf("%s stopped in %v", n.VM.ID, time.Since(begin))
+		n.Restart()
+		c.AwaitServing()
+	}
+	s := finish(t, c, r)
+	for _, a := range r.Attempts() {
+		qt.Check(t, a.Verdict == proctest.MayHaveRun, qt.IsFalse, qt.Commentf("%s at %s: %s %s", a.Query.ID, a.Address, a.Code, a.Message))
+	}
+	wantAllComplete(t, s)
+}
--- /dev/null
+++ b/internal/proctest/promise10_config_test.go
@@ -0,0 +1,86 @@
+package proctest_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cyclamenstream/api/config"
+	"cyclamenstream/api/operator"
+	"cyclamenstream/internal/proctest"
+	standin "cyclamenstream/internal/standin/platform"
+)
+
+// watchVersions checks until stop is called that no fresh node ever falls back behind a version that it had in force.
+func watchVersions(t *testing.T, c *proctest.Cluster) (stop func()) {
+	done := make(chan struct{})
+	var watchers sync.WaitGroup
+	for _, n := range c.RunningNodes() {
+		watchers.Go(func() {
+			var highest uint64
+			for {
+				select {
+				case <-done:
+					return
+				case <-time.After(20 * time.Millisecond):
+				}
+				if s, err := n.Status(); err == nil && s.Fresh {
+					qt.Check(t, s.ConfigVersion >= highest, qt.IsTrue, qt.Commentf("%s went from version %d to %d", n.VM.ID, highest, s.ConfigVersion))
+					highest = max(highest, s.ConfigVersion)
+				}
+			}
+		})
+	}
+	return func() {
+		close(done)
+		watchers.Wait()
+	}
+}
+
+// Guards promise 10, an accepted configuration is in force everywhere within seconds and never reverts, against
+// concurrent operators, lost answers of the store, conflicts, a store that comes back with an older value, and a node
+// that starts while the store holds that value.
+func TestConfiguration(t *testing.T) {
+	const operators, changes = 3, 5
+	c := begin(t, nil)
+	stop := watchVersions(t, c)
+	status, err := c.Nodes["n1"].Status()
+	qt.Assert(t, err, qt.IsNil)
+	first := status.ConfigVersion
+	c.Platform.Faults(func(f *standin.Faults) { f.LoseAfter, f.Conflicts = 4, 4 })
+	var all sync.WaitGroup
+	for o := range operators {
+		all.Go(func() {
+			for i := range changes {
+				p := proctest.StandardProfile()
+				name := fmt.Sprintf("profile-%d-%d", o, i)
+				c.Apply(config.Change{ID: name, Op: config.OpPutProfile, Name: name, Profile: &p})
+			}
+		})
+	}
+	all.Wait()
+	last := first + operators*changes
+	t.Log("in force after", c.AwaitVersion(last, inForceAfter))
+	status, err = c.Nodes["n1"].Status()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, status.ConfigVersion, qt.Equals, last, qt.Commentf("each change is applied once"))
+
+	p := proctest.StandardProfile()
+	conflict := config.Change{ID: "late", Op: config.OpPutProfile, Name: "profile-0-0", Profile: &p, CheckBase: true}
+	result, err := c.Nodes["n2"].Change(conflict)
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, result.Outcome, qt.Equals, operator.Conflict)
+
+	c.Platform.Rollback(config.Key, 3)
+	c.Nodes["n3"].Kill()
+	c.Nodes["n3"].Restart()
+	c.AwaitServing()
+	time.Sleep(time.Second)
+	next := c.Apply(config.Change{ID: "after", Op: config.OpPutProfile, Name: "after", Profile: &p})
+	qt.Check(t, next > last, qt.IsTrue, qt.Commentf("version %d follows %d", next, last))
+	t.Log("in force after", c.AwaitVersion(next, inForceAfter))
+	stop()
+}
