Wait for a configuration before nodes count as serving in process tests

Cause: a node without any configuration is not fresh, and the settings allow no locate time to live below 1 s. Before: every process test failed at its start. Conclusion: the order profile, service, fresh is the one of a new installation.

--- a/internal/proctest/cluster.go
+++ b/internal/proctest/cluster.go
@@ -83,7 +83,6 @@
 	for _, n := range c.Nodes {
 		n.start()
 	}
-	c.AwaitServing()
 	for _, name := range slices.Sorted(maps.Keys(spec.Profiles)) {
 		p := spec.Profiles[name]
 		c.Apply(config.Change{Op: config.OpPutProfile, Name: name, Profile: &p})
@@ -94,6 +93,8 @@
 		version = c.Apply(config.Change{Op: config.OpPutService, Name: name, Service: &s})
 	}
 	c.AwaitVersion(version, startLimit)
+	// A node is fresh only once it has a configuration.
+	c.AwaitServing()
 	return c
 }
 
