--- a/internal/contract/inventorytest/inventorytest.go
+++ b/internal/contract/inventorytest/inventorytest.go
@@ -97,7 +97,7 @@
 
 func lags(c check) {
 	c.Platform.PutVM(node)
-	time.Sleep(lag)
+	c.want(1, node)
 	c.Platform.Update(func(f *standin.Faults) { f.ListLag = config.Duration(lag) })
 	c.Platform.PutVM(leaf)
 	c.want(1, node)
