Add a process test of stragglers

Cause: tail latency and extra leaf requests are measured promises without a test. Before: none. After: 2% of the calls take 400 ms; the 95th percentile must be below half of that and the calls within the profile's hedge and retry budgets. Conclusion: the bounds come from the profile's budgets.

--- a/internal/proctest/faults_test.go
+++ b/internal/proctest/faults_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"cyclamenstream/api/config"
 	"cyclamenstream/api/verdict"
 	"cyclamenstream/internal/proctest"
 	"cyclamenstream/internal/standin/leaf"
@@ -91,3 +92,29 @@
 	qt.Check(t, crashes, qt.Equals, 2)
 	qt.Check(t, s.Codes[string(verdict.CodeQuarantined)], qt.Equals, 0)
 }
+
+// Guards against a tail that stragglers set and against hedges and retries without a budget. 2% of the calls straggle,
+// so 8% of the queries would; the profile's hedge budget of 5% of the calls suffices for all of them.
+func TestStragglers(t *testing.T) {
+	const straggler = 400 * time.Millisecond
+	c := begin(t, func(s *proctest.Spec) {
+		for i := range s.Leaves {
+			s.Leaves[i].Config.StragglerShare, s.Leaves[i].Config.StragglerLatency = 0.02, config.Duration(straggler)
+		}
+	})
+	warm := c.StartLoad(load())
+	time.Sleep(2 * time.Second)
+	warm.Stop()
+	begun := c.Executions()
+	r := c.StartLoad(load())
+	time.Sleep(6 * time.Second)
+	s := finish(t, c, r, warm)
+	calls := 0
+	for vm, log := range c.Executions() {
+		calls += len(log) - len(begun[vm])
+	}
+	p, needed := proctest.StandardProfile(), float64(s.Requests*proctest.FirstShards)
+	qt.Check(t, float64(calls) <= needed*(1+p.HedgeBudget+p.RetryBudget), qt.IsTrue, qt.Commentf("%d calls for %v", calls, needed))
+	qt.Check(t, s.P95 < straggler/2, qt.IsTrue, qt.Commentf("95th percentile %v", s.P95))
+	wantAllComplete(t, s)
+}
