Fit the process harness to the node's program

Cause: trials with the node showed that it is not fresh before a configuration exists, that it allows no address cache below 1 s, that a service has no owner for some seconds after the start, and that partial answers carry the merged verdict of their parts. Before: the harness waited for freshness first and began its load before any owner existed; the check of answers wanted the verdict completed for partial ones. After: it waits until a query is answered in full; partial answers may have run.

--- a/internal/proctest/caller.go
+++ b/internal/proctest/caller.go
@@ -60,6 +60,8 @@
 	Total   uint32   `json:"total"`
 	Covered float64  `json:"covered"`
 	Missing []uint32 `json:"missing"`
+	// Complete is nil if the node does not report it.
+	Complete *bool `json:"complete"`
 }
 
 // Result is the answer of one shard.
--- a/internal/proctest/cluster.go
+++ b/internal/proctest/cluster.go
@@ -83,7 +83,10 @@
 	for _, n := range c.Nodes {
 		n.start()
 	}
-	c.AwaitServing()
+	c.awaitNodes(false)
+	if running := len(c.RunningNodes()); running < len(spec.Nodes) {
+		t.Fatalf("%d of %d nodes run after their start", running, len(spec.Nodes))
+	}
 	for _, name := range slices.Sorted(maps.Keys(spec.Profiles)) {
 		p := spec.Profiles[name]
 		c.Apply(config.Change{Op: config.OpPutProfile, Name: name, Profile: &p})
@@ -93,7 +96,14 @@
 		s := spec.Services[name]
 		version = c.Apply(config.Change{Op: config.OpPutService, Name: name, Service: &s})
 	}
+	if t.Failed() {
+		t.FailNow()
+	}
 	c.AwaitVersion(version, startLimit)
+	c.AwaitServing()
+	for _, name := range slices.Sorted(maps.Keys(spec.Services)) {
+		c.AwaitAnswers(name)
+	}
 	return c
 }
 
@@ -195,12 +205,20 @@
 
 // Change sends an operator's change to this node, once.
 func (n *Node) Change(change config.Change) (operator.ChangeResult, error) {
-	var r operator.ChangeResult
+	// An error's body holds the result in the field change.
+	var r struct {
+		operator.ChangeResult
+		Change *operator.ChangeResult `json:"change"`
+	}
 	body, err := json.Marshal(change)
 	if err != nil {
-		return r, err
+		return r.ChangeResult, err
+	}
+	err = n.admin(http.MethodPost, "changes", body, &r)
+	if r.Change != nil {
+		return *r.Change, err
 	}
-	return r, n.admin(http.MethodPost, "changes", body, &r)
+	return r.ChangeResult, err
 }
 
 // admin calls the operators' interface. Outcomes other than "accepted" may come with any status, so the body decides.
@@ -251,19 +269,59 @@
 // AwaitServing waits until every running node sees every running node alive and is fresh.
 func (c *Cluster) AwaitServing() {
 	c.t.Helper()
-	c.Await(startLimit, "all nodes serve and see each other", func() bool {
-		running := c.RunningNodes()
-		return !slices.ContainsFunc(running, func(n *Node) bool {
-			s, err := n.Status()
-			alive := 0
-			for _, other := range s.Nodes {
-				if other.Alive {
-					alive++
-				}
+	c.awaitNodes(true)
+}
+
+// awaitNodes is AwaitServing, but for a tier without a configuration, which cannot be fresh, if fresh is false.
+func (c *Cluster) awaitNodes(fresh bool) {
+	c.t.Helper()
+	for begin := time.Now(); ; time.Sleep(50 * time.Millisecond) {
+		waiting := c.notServing(fresh)
+		if waiting == "" {
+			return
+		}
+		if time.Since(begin) > startLimit {
+			c.t.Fatalf("not all nodes serve and see each other after %v: %s", startLimit, waiting)
+		}
+	}
+}
+
+// notServing describes a node that does not serve or does not see the others; empty if there is none.
+func (c *Cluster) notServing(fresh bool) string {
+	running := c.RunningNodes()
+	for _, n := range running {
+		s, err := n.Status()
+		alive := 0
+		for _, other := range s.Nodes {
+			if other.Alive {
+				alive++
 			}
-			return err != nil || !s.Fresh || alive < len(running)
-		})
-	})
+		}
+		if err != nil || (fresh && !s.Fresh) || alive < len(running) {
+			return fmt.Sprintf("%s reports %+v, error %v", n.VM.ID, s, err)
+		}
+	}
+	if len(running) == 0 {
+		return "no node runs"
+	}
+	return ""
+}
+
+// AwaitAnswers waits until a running node answers a query of the service in full.
+func (c *Cluster) AwaitAnswers(service string) {
+	c.t.Helper()
+	var last Attempt
+	for begin, i := time.Now(), 0; time.Since(begin) < startLimit; i++ {
+		for _, n := range c.RunningNodes() {
+			id := fmt.Sprintf("probe-%s-%s-%d", service, n.VM.ID, i)
+			last = Ask(context.Background(), n.VM.CallerAddress, Query{Caller: "probe", ID: id, Service: service, Payload: []byte(id)}, time.Second)
+			if last.Complete() {
+				return
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	c.t.Fatalf("no complete answer from %s within %v: %s %s", service, startLimit, last.Code, last.Message)
 }
 
 // AwaitVersion waits until every running node has at least this version of the configuration in force.
--- a/internal/proctest/spec.go
+++ b/internal/proctest/spec.go
@@ -28,7 +28,7 @@
 // ThreeZones returns the standard specification: a node and a leaf in each of three zones, one service.
 func ThreeZones() Spec {
 	s := Spec{
-		LocateTTL: 500 * time.Millisecond,
+		LocateTTL: time.Second, // the least that nodes allow
 		Profiles:  map[string]config.Profile{Profile: StandardProfile()},
 		Services: map[string]config.Service{
 			Service: {Profile: Profile, Slots: 3, ColdSlots: 1, Connections: 30}},
