--- a/internal/httpapi/bodies.go
+++ b/internal/httpapi/bodies.go
@@ -56,10 +56,12 @@
 // CoverageBody tells how much of the snapshot an answer covers.
 type CoverageBody struct {
 	// Percent is rounded down to two decimals: 100 only if the answer is complete.
-	Percent  float64  `json:"percent"`
-	Complete bool     `json:"complete"`
-	Total    uint32   `json:"total"`
-	Missing  []uint32 `json:"missing"`
+	Percent  float64 `json:"percent"`
+	Complete bool    `json:"complete"`
+	Total    uint32  `json:"total"`
+	// Covered is the sum of the covered shares of all shards.
+	Covered float64  `json:"covered"`
+	Missing []uint32 `json:"missing"`
 }
 
 // ResultBody is the answer of one shard; Data is in base64.
