--- a/internal/httpapi/bodies.go
+++ b/internal/httpapi/bodies.go
@@ -89,7 +89,7 @@
 		LeafRequests: a.LeafRequests, Node: a.Node,
 		Coverage: CoverageBody{
 			Percent: a.Coverage.Percent(), Complete: a.Coverage.Complete(), Total: a.Coverage.Total,
-			Missing: append([]uint32{}, a.Coverage.Missing...),
+			Covered: a.Coverage.Covered, Missing: append([]uint32{}, a.Coverage.Missing...),
 		},
 		Results: make([]ResultBody, len(a.Results)),
 	}
