Bound slow bodies, paused nodes and the way back of an answer

Cause: a caller that sends half a body held a goroutine; a paused node, which accepts connections and answers nothing, failed each query until the kept addresses expired; a node that used its whole deadline answered too late for the client. Before: no time limit on bodies; the order of addresses never changed; nodes were told the whole time left. After: httpapi.NewServer has time limits, and a body that does not arrive gets 408 "not-run"; the client tries an address that gave no answer last for 2 s, leaves half of the time for other nodes when it asks for addresses, and keeps back 20 ms (at most a quarter) of the deadline. TestPausedNode failed without each of the first two client rules. A trial with a read deadline in the handler hung, because net/http drains the body after the handler; the server's ReadTimeout does not. A change whose time runs out keeps the message of its last attempt. The operators' page is checked against exit codes, settings and flags. Conclusion: a paused node fails at most one query of a client in 2 s.

--- a/cmd/cyclamenstream/main_test.go
+++ b/cmd/cyclamenstream/main_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/alecthomas/kong"
 	qt "github.com/frankban/quicktest"
 
 	"cyclamenstream/api/config"
@@ -21,6 +22,7 @@
 	"cyclamenstream/api/query"
 	"cyclamenstream/api/verdict"
 	"cyclamenstream/internal/httpapi"
+	"cyclamenstream/internal/settings"
 )
 
 // fakeNode is a node whose answers the test sets.
@@ -214,6 +216,29 @@
 	}
 }
 
+// Guards against a page that no longer lists what the command line and the settings have.
+func TestOperatorsPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operators.md")
+	qt.Assert(t, err, qt.IsNil)
+	for code := exitOK; code <= exitMayHaveRun; code++ {
+		qt.Check(t, string(page), qt.Contains, fmt.Sprintf("\n| %d | ", code))
+		qt.Check(t, description, qt.Contains, fmt.Sprintf("\n  %d  ", code))
+	}
+	for _, entry := range settings.Defaults().Entries() {
+		qt.Check(t, string(page), qt.Contains, "`"+entry.Key+"`")
+	}
+	for _, command := range kong.Must(&cli{}).Model.Leaves(true) {
+		for _, word := range strings.Fields(command.Path()) {
+			qt.Check(t, string(page), qt.Contains, word)
+		}
+		if command.Name != "query" { // its flags are in --help, its fields in the page for callers
+			for _, flag := range command.Flags {
+				qt.Check(t, string(page), qt.Contains, "--"+flag.Name)
+			}
+		}
+	}
+}
+
 // Guards against commands that print nothing of what they read, or hide that no node answered.
 func TestReads(t *testing.T) {
 	address := (&fakeNode{versions: [][3]uint64{{7, 7, 6}}}).start(t)
--- a/internal/callerclient/admin.go
+++ b/internal/callerclient/admin.go
@@ -20,28 +20,28 @@
 // Document returns the configuration as the first node that answers knows it.
 func (c *Client) Document(ctx context.Context) (config.Document, error) {
 	var document config.Document
-	err := c.get(ctx, httpapi.PathConfig, &document)
+	err := c.get(ctx, AdminTimeout, httpapi.PathConfig, &document)
 	return document, err
 }
 
 // Status returns the state of the tier as the first node that answers sees it.
 func (c *Client) Status(ctx context.Context) (operator.Status, error) {
 	var status operator.Status
-	err := c.get(ctx, httpapi.PathStatus, &status)
+	err := c.get(ctx, AdminTimeout, httpapi.PathStatus, &status)
 	return status, err
 }
 
 // Quarantine lists the refused requests.
 func (c *Client) Quarantine(ctx context.Context) ([]operator.QuarantineEntry, error) {
 	var body httpapi.QuarantineBody
-	err := c.get(ctx, httpapi.PathQuarantine, &body)
+	err := c.get(ctx, AdminTimeout, httpapi.PathQuarantine, &body)
 	return body.Quarantine, err
 }
 
 // Timeline returns the events that match the parameters vm, zone, service and request.
 func (c *Client) Timeline(ctx context.Context, filter url.Values) (httpapi.TimelineBody, error) {
 	var body httpapi.TimelineBody
-	err := c.get(ctx, httpapi.PathTimeline+"?"+filter.Encode(), &body)
+	err := c.get(ctx, AdminTimeout, httpapi.PathTimeline+"?"+filter.Encode(), &body)
 	return body, err
 }
 
@@ -53,10 +53,13 @@
 	}
 	mayBeWritten := false
 	backoff := FirstBackoff
-	result := operator.ChangeResult{Outcome: operator.Unavailable, Message: "no node to ask"}
+	result := operator.ChangeResult{Outcome: operator.Unavailable, Message: "no node was asked"}
 	for {
 		unreachable := false
 		for _, node := range c.nodes {
+			if left, limited := timeLeft(ctx); limited && left < minAttempt {
+				continue
+			}
 			var reached bool
 			result, reached = c.changeAt(ctx, node, change)
 			switch result.Outcome {
--- a/internal/callerclient/callerclient.go
+++ b/internal/callerclient/callerclient.go
@@ -17,6 +17,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -33,6 +34,17 @@
 	DialTimeout = 500 * time.Millisecond
 	// LocateTimeout bounds one locate request to one node, so that a paused node does not use up the deadline.
 	LocateTimeout = time.Second
+	// AdminTimeout bounds one read of an operator from one node, which may have to ask all other nodes.
+	AdminTimeout = 5 * time.Second
+	// AnswerMargin is the time that is kept back from the deadline that a node is told, for the way back: 3 ms one way
+	// to callers, the transfer, and the scheduling of both processes. It is at most a quarter of the time left.
+	AnswerMargin = 20 * time.Millisecond
+	// minAttempt is the least time left in which an attempt is made: the shortest timeout that the header can hold, with
+	// the share for the way back.
+	minAttempt = 2 * time.Millisecond
+	// SuspectTime is how long an address that gave no answer is tried last. A killed or paused node loses its leases
+	// within 2 s, and from then on is no longer named first.
+	SuspectTime = 2 * time.Second
 	// FirstBackoff and MaxBackoff bound the pause before an attempt that follows a refusal. Pauses double, and half of
 	// each is random, so that refused callers do not come back together.
 	FirstBackoff = 20 * time.Millisecond
@@ -51,6 +63,8 @@
 
 	mu      sync.Mutex
 	located map[string]location
+	// suspects holds when an address last gave no answer.
+	suspects map[string]time.Time
 }
 
 // location is an answer to a locate request and the time until which it may be used.
@@ -68,7 +82,8 @@
 			Transport:     &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
-		located: map[string]location{},
+		located:  map[string]location{},
+		suspects: map[string]time.Time{},
 	}
 }
 
@@ -97,7 +112,7 @@
 // LocateFresh asks the nodes without use of a kept answer.
 func (c *Client) LocateFresh(ctx context.Context, service string) (operator.LocateAnswer, error) {
 	var answer operator.LocateAnswer
-	err := c.get(ctx, httpapi.PathLocate+"?service="+url.QueryEscape(service), &answer)
+	err := c.get(ctx, LocateTimeout, httpapi.PathLocate+"?service="+url.QueryEscape(service), &answer)
 	if err == nil && len(answer.Addresses) == 0 {
 		err = verdict.Refusef(verdict.CodeNoOwner, "no address is known for service %q", service)
 	}
@@ -111,13 +126,39 @@
 	delete(c.located, service)
 }
 
-// get reads a route from the first node that answers it. An answer that another node would repeat ends the search.
-// Its errors have the verdict "not run", since it only reads.
-func (c *Client) get(ctx context.Context, path string, value any) error {
+// byTrust returns the addresses with those that lately gave no answer last, otherwise in their order.
+func (c *Client) byTrust(addresses []string) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var trusted, suspect []string
+	for _, address := range addresses {
+		if since, listed := c.suspects[address]; listed && time.Since(since) < SuspectTime {
+			suspect = append(suspect, address)
+		} else {
+			trusted = append(trusted, address)
+		}
+	}
+	return append(trusted, suspect...)
+}
+
+// note records whether an address gave an answer.
+func (c *Client) note(address string, answered bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if answered {
+		delete(c.suspects, address)
+	} else {
+		c.suspects[address] = time.Now()
+	}
+}
+
+// get reads a route from the first node that answers it, with at most limit for each node. An answer that another node
+// would repeat ends the search. Its errors have the verdict "not run", since it only reads.
+func (c *Client) get(ctx context.Context, limit time.Duration, path string, value any) error {
 	code, message := CodeUnreachable, "no node to ask"
 	first := mathrand.IntN(max(1, len(c.nodes)))
-	for i := range c.nodes {
-		err := c.getFrom(ctx, c.nodes[(first+i)%len(c.nodes)], path, value)
+	for _, node := range c.byTrust(slices.Concat(c.nodes[first:], c.nodes[:first])) {
+		err := c.getFrom(ctx, limit, node, path, value)
 		if err == nil {
 			return nil
 		}
@@ -125,9 +166,8 @@
 		if ctx.Err() != nil {
 			break
 		}
-		var problem *ProblemError
-		if !errors.As(err, &problem) {
-			code = CodeUnreachable // LocateTimeout is no deadline of the caller
+		if !answered(err) {
+			code = CodeUnreachable // the limit for one node is no deadline of the caller
 		}
 		if isFinal(code) {
 			break
@@ -136,12 +176,22 @@
 	return verdict.Refusef(code, "%s", message)
 }
 
-func (c *Client) getFrom(ctx context.Context, node, path string, value any) error {
-	ctx, cancel := context.WithTimeout(ctx, LocateTimeout)
+// getFrom reads a route from one node. It leaves half of the time for the other nodes.
+func (c *Client) getFrom(ctx context.Context, limit time.Duration, node, path string, value any) error {
+	if left, limited := timeLeft(ctx); limited && len(c.nodes) > 1 {
+		limit = min(limit, left/2)
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	return c.send(ctx, http.MethodGet, node, path, nil, value)
 }
 
+// answered reports whether a node has answered with a problem body.
+func answered(err error) bool {
+	var problem *ProblemError
+	return errors.As(err, &problem)
+}
+
 // Query sends a query and returns its answer. Each attempt tells the node how much of ctx's deadline is left. The
 // error carries the verdict over all attempts: "not run" only if none may have run.
 func (c *Client) Query(ctx context.Context, body httpapi.QueryBody) (httpapi.AnswerBody, error) {
@@ -176,7 +226,7 @@
 	if err != nil {
 		return err
 	}
-	for _, address := range addresses {
+	for _, address := range c.byTrust(addresses) {
 		err = c.queryAt(ctx, address, body, answer)
 		if err == nil {
 			return nil
@@ -217,10 +267,16 @@
 	return true
 }
 
+// timeLeft returns the time until ctx's deadline; false without one.
+func timeLeft(ctx context.Context) (time.Duration, bool) {
+	until, limited := ctx.Deadline()
+	return time.Until(until), limited
+}
+
 // pause waits for a partly random share of d. It returns false if ctx ends first.
 func pause(ctx context.Context, d time.Duration) bool {
 	d = d/2 + mathrand.N(d/2)
-	if until, ok := ctx.Deadline(); ok && time.Until(until) <= d {
+	if left, limited := timeLeft(ctx); limited && left <= d+minAttempt {
 		return false
 	}
 	select {
@@ -251,19 +307,15 @@
 	if body != nil {
 		request.Header.Set("Content-Type", httpapi.TypeJSON)
 	}
-	if until, ok := ctx.Deadline(); ok {
-		left := time.Until(until)
-		if left < time.Millisecond {
+	if left, limited := timeLeft(ctx); limited {
+		if left < minAttempt {
 			return verdict.Refusef(verdict.CodeDeadline, "the deadline passed before the request was sent")
 		}
+		left -= min(AnswerMargin, left/4)
 		request.Header.Set(httpapi.HeaderTimeout, strconv.FormatInt(left.Milliseconds(), 10))
 	}
-	response, err := c.http.Do(request)
-	if err != nil {
-		return connectionError(&attempt, address, err)
-	}
-	defer response.Body.Close()
-	answer, err := io.ReadAll(io.LimitReader(response.Body, MaxAnswerBytes+1))
+	response, answer, err := c.roundTrip(request)
+	c.note(address, err == nil)
 	if err != nil {
 		return connectionError(&attempt, address, err)
 	}
@@ -279,6 +331,17 @@
 	return nil
 }
 
+// roundTrip sends a request and reads the answer whole.
+func (c *Client) roundTrip(request *http.Request) (*http.Response, []byte, error) {
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(response.Body, MaxAnswerBytes+1))
+	return response, answer, err
+}
+
 func connectionError(attempt *verdict.Attempt, address string, err error) error {
 	code := CodeUnreachable
 	if errors.Is(err, context.DeadlineExceeded) {
--- a/internal/callerclient/callerclient_test.go
+++ b/internal/callerclient/callerclient_test.go
@@ -192,6 +192,27 @@
 	}
 }
 
+// Guards against a paused node that fails each query until the kept addresses expire, or that uses up the deadline
+// before another node has been asked for addresses.
+func TestPausedNode(t *testing.T) {
+	paused, err := net.Listen("tcp", "127.0.0.1:0") // the kernel accepts connections, nothing answers
+	qt.Assert(t, err, qt.IsNil)
+	defer paused.Close()
+	node := newScriptedNode(t, "answer")
+	node.located, node.ttl = paused.Addr().String()+","+node.address(), time.Minute
+	for range 8 { // Locate starts with a random node
+		client := New(paused.Addr().String(), node.address())
+		for i := range 3 {
+			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+			_, err := client.Query(ctx, httpapi.QueryBody{Service: "s"})
+			cancel()
+			// The first query goes to the paused node unless that one has been asked for addresses before.
+			qt.Assert(t, err == nil || i == 0 && verdict.Of(err) == verdict.MayHaveRun(), qt.IsTrue, qt.Commentf("query %d: %v", i, err))
+		}
+		client.Close()
+	}
+}
+
 // Guards against a change that is applied twice, and against an "unavailable" for a change that may be written.
 func TestChangeOutcome(t *testing.T) {
 	tests := []struct {
--- a/internal/httpapi/decode.go
+++ b/internal/httpapi/decode.go
@@ -25,8 +25,8 @@
 // codeSlowBody refuses a body that did not arrive in time.
 const codeSlowBody verdict.Code = "request_timeout"
 
-// readBody reads the whole JSON body of at most max bytes into value.
-func readBody(w http.ResponseWriter, r *http.Request, max int64, value any) error {
+// readBody reads the whole JSON body into value.
+func (s *server) readBody(w http.ResponseWriter, r *http.Request, value any) error {
 	media, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
 	if err != nil || media != TypeJSON {
 		return verdict.Refusef(codeMediaType, "Content-Type %q; allowed: %s", r.Header.Get("Content-Type"), TypeJSON)
@@ -34,11 +34,11 @@
 	if encoding := r.Header.Get("Content-Encoding"); encoding != "" && encoding != "identity" {
 		return verdict.Refusef(codeMediaType, "Content-Encoding %q; allowed: none", encoding)
 	}
-	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, max))
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.MaxBodyBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return verdict.Refusef(verdict.CodeTooLarge, "body has more than %d bytes", max)
+		return verdict.Refusef(verdict.CodeTooLarge, "body has more than %d bytes", s.MaxBodyBytes)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return verdict.Refusef(codeSlowBody, "body did not arrive in time")
 	case err != nil:
--- a/internal/httpapi/decode_test.go
+++ b/internal/httpapi/decode_test.go
@@ -25,7 +25,7 @@
 		r := httptest.NewRequest(http.MethodPost, PathQuery, strings.NewReader(string(text)))
 		r.Header = http.Header{"Content-Type": {TypeJSON}, HeaderTimeout: {timeout}, HeaderRequestID: {id}}
 		var body QueryBody
-		err := readBody(httptest.NewRecorder(), r, 1<<20, &body)
+		err := (&server{Deps{MaxBodyBytes: 1 << 20}}).readBody(httptest.NewRecorder(), r, &body)
 		var request query.Request
 		if err == nil {
 			request, err = newRequest(body, r.Header, time.Now())
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"maps"
 	"net/http"
+	"runtime/debug"
 	"slices"
 	"strconv"
 	"strings"
@@ -26,6 +27,18 @@
 // DefaultMaxBodyBytes applies when Deps leaves the limit open.
 const DefaultMaxBodyBytes = 1 << 20
 
+// Time limits on slow callers.
+const (
+	// readTimeout bounds the arrival of a header and body: 1 MiB takes 2 s at 4 Mbit/s.
+	readTimeout = 5 * time.Second
+	// writeTimeout is counted from the end of the header, so that it includes the longest deadline of a profile.
+	writeTimeout = config.MaxDeadline + 30*time.Second
+	// idleTimeout is longer than the longest time to live of an address, so that callers keep their connections.
+	idleTimeout = 6 * time.Minute
+	// maxHeaderBytes is many times what the documented headers need.
+	maxHeaderBytes = 16 << 10
+)
+
 // changeTimeout bounds a change whose request has no timeout header. It is longer than a store call takes while the
 // store is slow, and shorter than operators wait for a command.
 const changeTimeout = 10 * time.Second
@@ -97,6 +110,14 @@
 	return engine
 }
 
+// NewServer returns a server with time limits on slow callers.
+func NewServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
 // count counts responses by route and status, and measures how long they took.
 func (s *server) count(c *gin.Context) {
 	start := time.Now()
@@ -112,7 +133,7 @@
 func recovered(c *gin.Context) {
 	defer func() {
 		if p := recover(); p != nil {
-			klog.ErrorS(nil, "handler panicked", "route", c.FullPath(), "panic", p)
+			klog.ErrorS(nil, "handler panicked", "route", c.FullPath(), "panic", p, "stack", string(debug.Stack()))
 			refuse(c, verdict.WithVerdict(verdict.MayHaveRun(), verdict.CodeInternal, "internal error"), "")
 		}
 	}()
@@ -132,7 +153,7 @@
 func (s *server) query(c *gin.Context) {
 	received := time.Now()
 	var body QueryBody
-	err := readBody(c.Writer, c.Request, s.MaxBodyBytes, &body)
+	err := s.readBody(c.Writer, c.Request, &body)
 	var request query.Request
 	if err == nil {
 		request, err = newRequest(body, c.Request.Header, received)
@@ -200,7 +221,7 @@
 func (s *server) change(c *gin.Context) {
 	received := time.Now()
 	var change config.Change
-	err := readBody(c.Writer, c.Request, s.MaxBodyBytes, &change)
+	err := s.readBody(c.Writer, c.Request, &change)
 	if err == nil {
 		err = checkChange(change)
 	}
--- a/internal/httpapi/httpapi_test.go
+++ b/internal/httpapi/httpapi_test.go
@@ -1,6 +1,7 @@
 package httpapi
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
@@ -9,7 +10,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -28,6 +28,7 @@
 // fakeNode stands in for the parts of a node behind the interface.
 type fakeNode struct {
 	execute  func(query.Request) (query.Answer, error)
+	during   func(context.Context)
 	executed []query.Request
 	result   operator.ChangeResult
 	changes  []config.Change
@@ -35,8 +36,11 @@
 	ready    error
 }
 
-func (n *fakeNode) Execute(_ context.Context, r query.Request) (query.Answer, error) {
+func (n *fakeNode) Execute(ctx context.Context, r query.Request) (query.Answer, error) {
 	n.executed = append(n.executed, r)
+	if n.during != nil {
+		n.during(ctx)
+	}
 	if n.execute != nil {
 		return n.execute(r)
 	}
@@ -256,25 +260,37 @@
 	}
 }
 
-// Guards against a connection that sends half a body and is then told that its request may have run.
-func TestBodyThatDoesNotArrive(t *testing.T) {
-	var node fakeNode
-	server := httptest.NewUnstartedServer(node.handler())
+// Guards against a connection that sends half a body and holds a goroutine for ever, and against a time limit on bodies
+// that ends the context of a query that runs longer.
+func TestBodyTimeout(t *testing.T) {
+	var ended error
+	node := fakeNode{execute: func(r query.Request) (query.Answer, error) { return query.Answer{RequestID: r.ID}, ended }}
+	node.during = func(ctx context.Context) {
+		time.Sleep(250 * time.Millisecond)
+		ended = ctx.Err()
+	}
+	server := httptest.NewUnstartedServer(nil)
+	server.Config = NewServer(node.handler())
 	server.Config.ReadTimeout = 100 * time.Millisecond
 	server.Start()
 	defer server.Close()
-	conn, err := net.Dial("tcp", server.Listener.Addr().String())
-	qt.Assert(t, err, qt.IsNil)
-	defer conn.Close()
-	_, err = io.WriteString(conn, "POST /v1/query HTTP/1.1\r\nHost: n\r\nContent-Type: application/json\r\nContent-Length: 99\r\n\r\n{")
-	qt.Assert(t, err, qt.IsNil)
-	response, err := io.ReadAll(conn)
-	if !errors.Is(err, os.ErrDeadlineExceeded) {
+	for _, test := range []struct{ body, status, text string }{
+		{`{`, "408 Request Timeout", `"verdict":"not-run"`},
+		{`{"service":"s"}`, "200 OK", `"request_id"`},
+	} {
+		conn, err := net.Dial("tcp", server.Listener.Addr().String())
+		qt.Assert(t, err, qt.IsNil)
+		defer conn.Close()
+		_, err = io.WriteString(conn, "POST /v1/query HTTP/1.1\r\nHost: n\r\nContent-Type: application/json\r\nContent-Length: 15\r\n\r\n"+test.body)
+		qt.Assert(t, err, qt.IsNil)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		qt.Assert(t, err, qt.IsNil)
+		text, err := io.ReadAll(response.Body)
 		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, response.Status, qt.Equals, test.status)
+		qt.Assert(t, string(text), qt.Contains, test.text)
 	}
-	qt.Assert(t, string(response), qt.Contains, "408 Request Timeout")
-	qt.Assert(t, string(response), qt.Contains, `"verdict":"not-run"`)
-	qt.Assert(t, node.executed, qt.HasLen, 0)
+	qt.Assert(t, node.executed, qt.HasLen, 1)
 }
 
 // Guards against routes that answer with another status, body or media type than the documented one.
