Refuse a repeated identifier or timeout header

Cause: of two X-Request-Id or Cyclamen-Timeout-Ms headers the first one was taken, so that a proxy that adds one could change which request an identifier stands for. Before: accepted. After: 400 "not-run" with both values; the new row of the refusal table failed before the change. Conclusion: an identifier is never ambiguous.

--- a/internal/httpapi/decode.go
+++ b/internal/httpapi/decode.go
@@ -87,6 +87,11 @@
 		Caller: body.Caller, ID: body.ID, Service: body.Service, Profile: body.Profile,
 		Shards: slices.Sorted(slices.Values(body.Shards)), Payload: body.Payload, NonIdempotent: body.NonIdempotent,
 	}
+	for _, name := range []string{HeaderRequestID, HeaderTimeout} {
+		if values := header.Values(name); len(values) > 1 {
+			return request, verdict.Refusef(verdict.CodeInvalid, "header %s is given %d times: %q", name, len(values), values)
+		}
+	}
 	if id := header.Get(HeaderRequestID); id != "" {
 		if body.ID != "" && body.ID != id {
 			return request, verdict.Refusef(verdict.CodeInvalid, "id %q in the body differs from %s %q", body.ID, HeaderRequestID, id)
--- a/internal/httpapi/httpapi_test.go
+++ b/internal/httpapi/httpapi_test.go
@@ -81,7 +81,7 @@
 		Metrics: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "metric 1\n") })})
 }
 
-// do sends one request; headers are "Name: value" and replace the defaults.
+// do sends one request; headers are "Name: value|value" and replace the defaults.
 func do(h http.Handler, method, path, body string, headers ...string) *httptest.ResponseRecorder {
 	r := httptest.NewRequest(method, path, strings.NewReader(body))
 	if method == http.MethodPost {
@@ -89,7 +89,7 @@
 	}
 	for _, header := range headers {
 		name, value, _ := strings.Cut(header, ": ")
-		r.Header.Set(name, value)
+		r.Header[http.CanonicalHeaderKey(name)] = strings.Split(value, "|")
 	}
 	w := httptest.NewRecorder()
 	h.ServeHTTP(w, r)
@@ -140,6 +140,7 @@
 		{"at most once without identifier", `{"service":"lookup","caller":"c","non_idempotent":true}`, "", 400, verdict.CodeInvalid, "caller and id"},
 		{"at most once without caller", `{"service":"lookup","id":"a","non_idempotent":true}`, "", 400, verdict.CodeInvalid, "caller and id"},
 		{"negative deadline", query, "Cyclamen-Timeout-Ms: -1", 400, verdict.CodeInvalid, `"-1"`},
+		{"two deadlines", query, "Cyclamen-Timeout-Ms: 50|9000", 400, verdict.CodeInvalid, `["50" "9000"]`},
 		{"deadline with a unit", query, "Cyclamen-Timeout-Ms: 150ms", 400, verdict.CodeInvalid, `"150ms"`},
 		{"deadline overflow", query, "Cyclamen-Timeout-Ms: 9223372036854775808", 400, verdict.CodeInvalid, "allowed"},
 		{"not JSON by type", query, "Content-Type: text/plain", 415, codeMediaType, "text/plain"},
