Give every command an example that parses

Before: nothing checked the examples. After: each command has at least one; the test parses all of them and failed on a trial with a misspelt flag.

--- a/cmd/cyclamenstream/main_test.go
+++ b/cmd/cyclamenstream/main_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"sync"
 	"testing"
@@ -216,7 +217,8 @@
 	}
 }
 
-// Guards against a page that no longer lists what the command line and the settings have.
+// Guards against a page that no longer lists what the command line and the settings have, and against
+// commands without an example or with one that does not parse.
 func TestOperatorsPage(t *testing.T) {
 	page, err := os.ReadFile("../../docs/operators.md")
 	qt.Assert(t, err, qt.IsNil)
@@ -231,6 +233,13 @@
 		for _, word := range strings.Fields(command.Path()) {
 			qt.Check(t, string(page), qt.Contains, word)
 		}
+		example := regexp.MustCompile(`(?m)^ +cyclamenstream (.*` + command.Name + `[^&\n]*)`)
+		lines := example.FindAllStringSubmatch(command.Detail, -1)
+		qt.Check(t, lines, qt.Not(qt.HasLen), 0, qt.Commentf("no example of %s", command.Path()))
+		for _, line := range append(lines, example.FindAllStringSubmatch(description, -1)...) {
+			_, err := kong.Must(&cli{}).Parse(strings.Fields(line[1]))
+			qt.Check(t, err, qt.IsNil, qt.Commentf("example %q", line[0]))
+		}
 		if command.Name != "query" { // its flags are in --help, its fields in the page for callers
 			for _, flag := range command.Flags {
 				qt.Check(t, string(page), qt.Contains, "--"+flag.Name)
--- a/cmd/cyclamenstream/output.go
+++ b/cmd/cyclamenstream/output.go
@@ -8,6 +8,11 @@
 	"text/tabwriter"
 )
 
+// examples formats command lines for the help of a command.
+func examples(lines ...string) string {
+	return "Examples:\n\n    cyclamenstream " + strings.Join(lines, "\n    cyclamenstream ")
+}
+
 // print writes value as JSON, or calls table to write it for people.
 func (a *app) print(value any, table func(w io.Writer)) error {
 	if a.Output == "json" {
--- a/cmd/cyclamenstream/profile.go
+++ b/cmd/cyclamenstream/profile.go
@@ -136,6 +136,11 @@
 	Name string `arg:"" help:"Name of the profile."`
 }
 
+// Help gives examples.
+func (profileShow) Help() string {
+	return examples("profile show gate", "--output json profile show gate")
+}
+
 // Run prints the profile.
 func (c profileShow) Run(ctx context.Context, a *app) error {
 	p, version, err := a.profile(ctx, c.Name)
@@ -148,6 +153,9 @@
 
 type profileList struct{}
 
+// Help gives examples.
+func (profileList) Help() string { return examples("profile list", "--output json profile list") }
+
 // Run prints all profiles.
 func (profileList) Run(ctx context.Context, a *app) error {
 	document, err := a.document(ctx)
@@ -178,6 +186,9 @@
 	waitFlag
 }
 
+// Help gives examples.
+func (profileDelete) Help() string { return examples("profile delete gate") }
+
 // Run deletes the profile at the version that was read.
 func (c profileDelete) Run(ctx context.Context, a *app) error {
 	_, version, err := a.profile(ctx, c.Name)
--- a/cmd/cyclamenstream/quarantine.go
+++ b/cmd/cyclamenstream/quarantine.go
@@ -15,6 +15,9 @@
 
 type quarantineList struct{}
 
+// Help gives examples.
+func (quarantineList) Help() string { return examples("quarantine list") }
+
 // Run prints the list.
 func (quarantineList) Run(ctx context.Context, a *app) error {
 	ctx, cancel := a.withTimeout(ctx)
@@ -36,6 +39,9 @@
 	waitFlag
 }
 
+// Help gives examples.
+func (quarantineLift) Help() string { return examples("quarantine lift 9f86d081884c7d65") }
+
 // Run lifts the quarantine.
 func (c quarantineLift) Run(ctx context.Context, a *app) error {
 	return a.apply(ctx, config.Change{Op: config.OpLift, Name: c.Fingerprint}, c.waitFlag)
--- a/cmd/cyclamenstream/query.go
+++ b/cmd/cyclamenstream/query.go
@@ -16,7 +16,7 @@
 	Payload       string   `help:"Payload as text." xor:"payload"`
 	PayloadFile   string   `help:"File that holds the payload; - reads standard input." xor:"payload" placeholder:"FILE"`
 	Profile       string   `help:"One of the service's profiles, instead of its own."`
-	Shards        []uint32 `help:"Ask only these shards." placeholder:"N,..."`
+	Shards        []uint32 `help:"Ask only these shards." placeholder:"N"`
 	Caller        string   `help:"Name of the caller; needed with --non-idempotent."`
 	ID            string   `help:"Identifier of the request; needed with --non-idempotent. A resend uses the same one."`
 	NonIdempotent bool     `help:"The request must run at most once."`
@@ -31,7 +31,7 @@
 
     cyclamenstream query lookup --payload 'key=17'
     cyclamenstream --timeout 200ms query lookup --shards 0,4 --payload-file key.bin
-    cyclamenstream query ledger --non-idempotent --caller billing --id 2026-07-0001 --payload 'add 5'
+    cyclamenstream query ledger --non-idempotent --caller billing --id 2026-07-0001 --payload 'add=5'
 
 The exit code is 0 for a complete answer, 7 for a partial one, 8 if the query certainly did not run, and 9 if it may
 have run. After 8 it is safe to send again; after 9 only if the query is idempotent.`
--- a/cmd/cyclamenstream/service.go
+++ b/cmd/cyclamenstream/service.go
@@ -21,7 +21,7 @@
 type serviceSet struct {
 	Name          string    `arg:"" help:"Name of the service."`
 	Profile       *string   `help:"Profile that its requests run under; needed for a new service." placeholder:"NAME"`
-	ExtraProfiles *[]string `help:"Further profiles that a request may select; replaces the list." placeholder:"NAME,..."`
+	ExtraProfiles *[]string `help:"Further profiles that a request may select; replaces the list." placeholder:"NAME"`
 	Slots         *int      `help:"Concurrent calls that a warm backend server can handle; needed for a new service." placeholder:"N"`
 	ColdSlots     *int      `help:"Concurrent calls that a backend server in cold start can handle; 1 for a new service." placeholder:"N"`
 	Connections   *int      `help:"Connections that a backend server accepts from all clients; needed for a new service." placeholder:"N"`
@@ -66,6 +66,9 @@
 	Name string `arg:"" help:"Name of the service."`
 }
 
+// Help gives examples.
+func (serviceShow) Help() string { return examples("service show lookup") }
+
 // Run prints the service.
 func (c serviceShow) Run(ctx context.Context, a *app) error {
 	body, err := a.service(ctx, c.Name)
@@ -90,6 +93,9 @@
 
 type serviceList struct{}
 
+// Help gives examples.
+func (serviceList) Help() string { return examples("service list", "--output json service list") }
+
 // Run prints all services.
 func (serviceList) Run(ctx context.Context, a *app) error {
 	document, err := a.document(ctx)
@@ -119,6 +125,9 @@
 	waitFlag
 }
 
+// Help gives examples.
+func (serviceDelete) Help() string { return examples("service delete lookup") }
+
 // Run deletes the service at the version that was read.
 func (c serviceDelete) Run(ctx context.Context, a *app) error {
 	body, err := a.service(ctx, c.Name)
--- a/cmd/cyclamenstream/version.go
+++ b/cmd/cyclamenstream/version.go
@@ -14,6 +14,9 @@
 	Go       string `json:"go"`
 }
 
+// Help gives examples.
+func (versionCommand) Help() string { return examples("version", "--output json version") }
+
 // Run prints the version that the Go toolchain has recorded in the binary.
 func (versionCommand) Run(a *app) error {
 	report := versionReport{Version: "unknown"}
--- a/cmd/cyclamenstream/vm.go
+++ b/cmd/cyclamenstream/vm.go
@@ -16,6 +16,9 @@
 	waitFlag
 }
 
+// Help gives examples.
+func (vmOut) Help() string { return examples("vm out entry-7", "vm out leaf-12 --wait 30s") }
+
 // Run takes the VM out.
 func (c vmOut) Run(ctx context.Context, a *app) error {
 	return a.apply(ctx, config.Change{Op: config.OpVMOut, Name: c.VM}, c.waitFlag)
@@ -26,6 +29,9 @@
 	waitFlag
 }
 
+// Help gives examples.
+func (vmIn) Help() string { return examples("vm in entry-7") }
+
 // Run takes the VM back in.
 func (c vmIn) Run(ctx context.Context, a *app) error {
 	return a.apply(ctx, config.Change{Op: config.OpVMIn, Name: c.VM}, c.waitFlag)
--- a/cmd/cyclamenstream/zone.go
+++ b/cmd/cyclamenstream/zone.go
@@ -35,6 +35,9 @@
 	waitFlag
 }
 
+// Help gives examples.
+func (zoneIn) Help() string { return examples("zone in z1", "zone in z1 --wait 0") }
+
 // Run takes the zone back in.
 func (c zoneIn) Run(ctx context.Context, a *app) error {
 	return a.apply(ctx, config.Change{Op: config.OpZoneIn, Name: c.Zone}, c.waitFlag)
