Keep a change unresolved when its resend is refused without a look

Cause: after a lost answer, a node that refused the resend at its interface made the client report "rejected", which says that nothing was written. Before: rejected. After: unresolved, unless the node has looked at the configuration for the outcome. The new row of TestChangeOutcome failed before the change. Conclusion: "nothing was written" is said only if it is certain.

--- a/internal/callerclient/admin.go
+++ b/internal/callerclient/admin.go
@@ -45,60 +45,73 @@
 	return body, err
 }
 
+// changeAttempt is what one attempt of a change has shown.
+type changeAttempt struct {
+	operator.ChangeResult
+	// answered says that a node has answered, decided that it has looked at the configuration for the outcome.
+	answered, decided bool
+}
+
 // Change sends a change to the nodes in turn until its outcome is known or ctx ends. Every attempt carries the same
-// identifier, so that the change is applied once. The outcome is Unavailable only if no attempt may have written.
+// identifier, so that the change is applied once. The outcome is Unavailable, or Rejected by a node that has not looked
+// at the configuration, only if no attempt may have written.
 func (c *Client) Change(ctx context.Context, change config.Change) operator.ChangeResult {
 	if change.ID == "" {
 		change.ID = rand.Text()
 	}
 	mayBeWritten := false
 	backoff := FirstBackoff
-	result := operator.ChangeResult{Outcome: operator.Unavailable, Message: "no node was asked"}
+	last := changeAttempt{ChangeResult: operator.ChangeResult{Outcome: operator.Unavailable, Message: "no node was asked"}}
 	for {
 		unreachable := false
 		for _, node := range c.nodes {
 			if left, limited := timeLeft(ctx); limited && left < minAttempt {
 				continue
 			}
-			var reached bool
-			result, reached = c.changeAt(ctx, node, change)
-			switch result.Outcome {
+			last = c.changeAt(ctx, node, change)
+			switch last.Outcome {
 			case operator.Accepted, operator.Conflict, operator.Rejected:
-				return result
+				if last.decided || !mayBeWritten {
+					return last.ChangeResult
+				}
 			case operator.Unresolved:
 				mayBeWritten = true
 			}
-			unreachable = unreachable || !reached
+			unreachable = unreachable || !last.answered
 		}
 		if mayBeWritten {
-			result.Outcome = operator.Unresolved
+			last.Outcome = operator.Unresolved
 		}
 		if !(mayBeWritten || unreachable) || !pause(ctx, backoff) {
-			return result
+			return last.ChangeResult
 		}
 		backoff = min(2*backoff, MaxBackoff)
 	}
 }
 
-// changeAt makes one attempt. reached says whether the node answered.
-func (c *Client) changeAt(ctx context.Context, node string, change config.Change) (result operator.ChangeResult, reached bool) {
+// changeAt makes one attempt.
+func (c *Client) changeAt(ctx context.Context, node string, change config.Change) changeAttempt {
 	ctx, cancel := context.WithTimeout(ctx, changeAttemptTimeout)
 	defer cancel()
+	var result operator.ChangeResult
 	err := c.send(ctx, http.MethodPost, node, httpapi.PathChanges, change, &result)
 	if err == nil {
-		return result, true
+		return changeAttempt{result, true, true}
 	}
 	var problem *ProblemError
-	switch reached = errors.As(err, &problem); {
-	case reached && problem.Problem.Change != nil:
-		return *problem.Problem.Change, true
-	case reached && verdict.Of(err).IsNotRun() && isFinal(verdict.CodeOf(err)):
-		return operator.ChangeResult{Outcome: operator.Rejected, Message: verdict.Message(err)}, true
-	case verdict.Of(err).IsNotRun():
-		return operator.ChangeResult{Outcome: operator.Unavailable, Message: verdict.Message(err)}, reached
+	if errors.As(err, &problem) && problem.Problem.Change != nil {
+		return changeAttempt{*problem.Problem.Change, true, true}
+	}
+	result.Message = verdict.Message(err)
+	switch {
+	case !verdict.Of(err).IsNotRun():
+		result.Outcome = operator.Unresolved
+	case problem != nil && isFinal(verdict.CodeOf(err)):
+		result.Outcome = operator.Rejected
 	default:
-		return operator.ChangeResult{Outcome: operator.Unresolved, Message: verdict.Message(err)}, reached
+		result.Outcome = operator.Unavailable
 	}
+	return changeAttempt{result, problem != nil, false}
 }
 
 // InForce counts the nodes that have the configuration at this version or a later one, and all nodes of the member set.
--- a/internal/callerclient/callerclient_test.go
+++ b/internal/callerclient/callerclient_test.go
@@ -230,6 +230,7 @@
 		{"unavailable here, accepted there", "outcome unavailable", "outcome accepted", operator.Accepted, 2},
 		{"unavailable everywhere", "outcome unavailable", "outcome unavailable", operator.Unavailable, 2},
 		{"lost answer, then unavailable", "reset;outcome unavailable", "outcome unavailable", operator.Unresolved, 0},
+		{"lost answer, then refused by the interface", "reset", "invalid_request not-run", operator.Unresolved, 0},
 		{"unresolved until the timeout", "outcome unresolved", "reset", operator.Unresolved, 0},
 		{"one node unreachable", "", "outcome unavailable", operator.Unavailable, 0},
 	}
