Keep a lost leaf from looking like a lost owner

Cause: when the sessions of all asked leaves were lost, fanout returned code session_lost. To the entry node that code means that the owner was lost, so it would have sent an idempotent query again until its deadline, without a budget and onto the leaves that a crashing request had not reached yet. Before: session_lost; a request without an identifier had none in its answer. After: coverage_too_low with the merged verdict; the entry node generates the identifier. Conclusion: only a failed forward is repeated by the entry node.

--- a/internal/fanout/pass.go
+++ b/internal/fanout/pass.go
@@ -168,7 +168,8 @@
 }
 
 // failure is the error of a query whose coverage is too low. Causes that concern the whole request keep their code, as
-// does a cause that all shards share.
+// does a cause that all shards share. A lost leaf session does not: to the entry node that code means a lost owner, and
+// it would send the query again.
 func (p *pass) failure(v verdict.Verdict, c query.Coverage) error {
 	code, reason := verdict.CodeCoverage, "no leaf answered in time"
 	if len(p.failures) > 0 {
@@ -181,7 +182,7 @@
 			verdict.CodeQuarantined:
 			return verdict.WithVerdict(v, cause, "%s", verdict.Message(o.err))
 		default:
-			shared = shared && cause == verdict.CodeOf(p.failures[0].err)
+			shared = shared && cause == verdict.CodeOf(p.failures[0].err) && cause != verdict.CodeSessionLost
 		}
 	}
 	if shared {
--- a/internal/frontend/validate.go
+++ b/internal/frontend/validate.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"crypto/rand"
 	"slices"
 	"strings"
 	"time"
@@ -12,8 +13,8 @@
 	"cyclamenstream/api/verdict"
 )
 
-// validate checks a request against the configuration and returns it with its deadline, and whether it must run at most
-// once, filled in. All its errors have verdict "not run".
+// validate checks a request against the configuration and returns it with its deadline, its identifier and whether it
+// must run at most once filled in. All its errors have verdict "not run".
 func (f *Frontend) validate(r query.Request) (query.Request, config.Profile, error) {
 	if err := f.Members.CheckFresh(); err != nil {
 		return r, config.Profile{}, err
@@ -35,6 +36,9 @@
 			"a request that is not idempotent needs a caller and a request identifier: caller %q, identifier %q", r.Caller,
 			r.ID)
 	}
+	if r.ID == "" {
+		r.ID = rand.Text()
+	}
 	now := time.Now()
 	if latest := now.Add(time.Duration(profile.Deadline)); r.Deadline.IsZero() || r.Deadline.After(latest) {
 		r.Deadline = latest
