--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,94 +29,61 @@
 	return New(s, event.Discard{}), s
 }
 
-// step is one thing that happens to a list.
-type step struct {
-	enter  string // fingerprint of a call whose identifier is "fingerprint" or given by id
-	id     string
-	shard  uint32
-	alone  bool         // what enter must tell
-	code   verdict.Code // what enter must refuse with
-	answer string       // identifier of a call that is answered
-	fail   string       // identifier of a call that ends without an answer
-	crash  []string     // identifiers of calls that ran on leaf vm when it crashed
-	vm     string
-	wait   time.Duration
-	lift   string
-}
-
-// Guards against a request that goes on crashing leaves, and against blame on requests that only ran beside it.
+// Guards against a request that goes on crashing leaves, and against blame on requests that only ran beside it. In the
+// scripts "p1" begins call 1 of the request with fingerprint p, "p1/7" for shard 7, "alone" and "refused" say what it must
+// be told; "ok" and "fail" end calls, "crash a" reports those that ran when leaf a crashed and ends them.
 func TestBlame(t *testing.T) {
-	crash := func(vm string, ids ...string) step { return step{vm: vm, crash: ids} }
-	refused := func(f string) step { return step{enter: f, code: verdict.CodeQuarantined} }
-	twice := []step{{enter: "p"}, crash("a", "p"), {fail: "p"}, {enter: "p", id: "p2", alone: true}, crash("b", "p2"),
-		{fail: "p2"}}
-	tests := []struct {
-		name  string
-		steps []step
-	}{
-		{"one crash", []step{{enter: "p"}, crash("a", "p"), {fail: "p"}, {enter: "p", id: "p2", alone: true}}},
-		{"two leaves", append(twice, refused("p"))},
-		{"two boots of one leaf", []step{{enter: "p"}, crash("a", "p"), {enter: "p", id: "p2", alone: true}, crash("a", "p2"),
-			refused("p")}},
-		{"crash reported after the call has ended", []step{{enter: "p"}, {fail: "p"}, {wait: time.Minute}, crash("a", "p"),
-			{enter: "p", id: "p2", alone: true}, {fail: "p2"}, crash("b", "p2"), refused("p")}},
-		{"several calls on one leaf are one crash", []step{{enter: "p"}, {enter: "p", id: "p2"}, crash("a", "p", "p2"),
-			{fail: "p"}, {fail: "p2"}, {enter: "p", id: "p3", alone: true}}},
-		{"two leaves at once", []step{{enter: "p"}, {enter: "p", id: "p2", shard: 1}, {enter: "p", id: "p3", shard: 2},
-			crash("a", "p"), crash("b", "p2", "p3"), refused("p")}},
-		{"beside a crash", []step{{enter: "p"}, {enter: "q"}, crash("a", "p", "q"), {fail: "q"}, {fail: "p"},
-			{enter: "q", id: "q2", alone: true}, {answer: "q2"}, {enter: "q", id: "q3"},
-			{enter: "p", id: "p2", alone: true}, crash("b", "p2"), refused("p"), {enter: "q", id: "q4"}}},
-		{"two suspects at both crashes", []step{{enter: "p"}, {enter: "p", id: "p2"}, {enter: "q"}, {enter: "q", id: "q2"},
-			crash("a", "p", "q"), crash("b", "p2", "q2"), {enter: "p", id: "p3", alone: true},
-			{enter: "q", id: "q3", alone: true}, crash("c", "p3"), refused("p")}},
-		{"the only common one", []step{{enter: "p"}, {enter: "p", id: "p2"}, {enter: "q"}, {enter: "r"},
-			crash("a", "p", "q"), crash("b", "p2", "r"), refused("p"), {enter: "q", id: "q2", alone: true},
-			{enter: "r", id: "r2", alone: true}}},
-		{"answer of a call that began before", []step{{enter: "p"}, {enter: "p", id: "p2"}, crash("a", "p"), {answer: "p2"},
-			{enter: "p", id: "p3", alone: true}}},
-		{"answer of another shard", []step{{enter: "p", shard: 7}, crash("a", "p"), {enter: "p", id: "p2", alone: true},
-			{answer: "p2"}, {enter: "p", id: "p3", shard: 7, alone: true}, crash("b", "p3"), refused("p")}},
-		{"answered calls are not blamed", []step{{enter: "p"}, {answer: "p"}, crash("a", "p"), {enter: "p", id: "p2"}}},
-		{"unknown calls", []step{crash("a", "x"), {enter: "p"}}},
-		{"suspicion ends", []step{{enter: "p"}, crash("a", "p"), {wait: suspicion}, {enter: "p", id: "p2"}, crash("b", "p2"),
-			{enter: "p", id: "p3", alone: true}}},
-		{"quarantine ends", append(twice, refused("p"), step{wait: Period - 1}, refused("p"), step{wait: 1},
-			step{enter: "p", id: "p3"})},
-		{"lifted, then counted anew", append(twice, step{lift: "p"}, step{enter: "p", id: "p3"}, crash("c", "p3"),
-			step{enter: "p", id: "p4", alone: true}, crash("d", "p4"), refused("p"))},
+	const twice = "p1; crash a p1; p2 alone; crash b p2; "
+	tests := []struct{ name, script string }{
+		{"one crash", "p1; crash a p1; p2 alone"},
+		{"two leaves", twice + "p3 refused"},
+		{"two boots of one leaf", "p1; crash a p1; p2 alone; crash a p2; p3 refused"},
+		{"crash reported after the end", "p1; fail p1; wait 1m; crash a p1; p2 alone; fail p2; crash b p2; p3 refused"},
+		{"two calls on one leaf are one crash", "p1; p2; crash a p1 p2; p3 alone"},
+		{"two leaves at once", "p1; p2/1; p3/2; crash a p1; crash b p2 p3; p4 refused"},
+		{"beside a crash", "p1; q1; crash a p1 q1; q2 alone; ok q2; q3; p2 alone; crash b p2; p3 refused; q4"},
+		{"two suspects at both crashes", "p1; p2; q1; q2; crash a p1 q1; crash b p2 q2; p3 alone; q3 alone; crash c p3; " +
+			"p4 refused; fail q3; q4 alone"},
+		{"the only common one", "p1; p2; q1; r1; crash a p1 q1; crash b p2 r1; p3 refused; q2 alone; r2 alone"},
+		{"answer of a call that began before", "p1; p2; crash a p1; ok p2; p3 alone"},
+		{"answer of another shard", "p1/7; crash a p1; p2 alone; ok p2; p3/7 alone; crash b p3; p4 refused"},
+		{"answered calls are not blamed", "p1; ok p1; crash a p1; p2"},
+		{"unknown calls", "crash a x1; p1"},
+		{"suspicion ends", "p1; crash a p1; wait 10m; p2; crash b p2; p3 alone"},
+		{"quarantine ends", twice + "p3 refused; wait 9m59s; p4 refused; wait 1s; p5"},
+		{"lifted, then counted anew", twice + "p3 refused; lift p; p4; crash c p4; p5 alone; crash d p5; p6 refused"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				l, s := newList()
-				for i, step := range test.steps {
-					if step.enter != "" {
-						id := step.id
-						if id == "" {
-							id = step.enter
+				for step := range strings.SplitSeq(test.script, "; ") {
+					switch words := strings.Fields(step); words[0] {
+					case "ok", "fail":
+						l.Leave(words[1], words[0] == "ok")
+					case "crash":
+						l.Crashed(leaf.Crash{Service: "s", VM: words[1], Running: words[2:]})
+						for _, id := range words[2:] {
+							l.Leave(id, false)
 						}
-						alone, err := l.Enter(t.Context(), step.enter, "s", id, step.shard)
-						at := qt.Commentf("step %d: %v", i, err)
-						qt.Assert(t, alone, qt.Equals, step.alone, at)
-						qt.Assert(t, err != nil, qt.Equals, step.code != "", at)
+					case "wait":
+						d, _ := time.ParseDuration(words[1])
+						time.Sleep(d)
+					case "lift":
+						s.lifted[words[1]] = 1
+					default:
+						id, shard, _ := strings.Cut(words[0], "/")
+						n, _ := strconv.Atoi(shard)
+						alone, err := l.Enter(t.Context(), id[:1], "s", id, uint32(n))
+						got := map[bool]string{true: id + "/" + shard + " alone", false: id + "/" + shard}[alone]
 						if err != nil {
-							qt.Assert(t, verdict.CodeOf(err), qt.Equals, step.code)
-							qt.Assert(t, verdict.Of(err).IsNotRun(), qt.IsTrue)
+							got += " refused"
+							qt.Check(t, verdict.CodeOf(err), qt.Equals, verdict.CodeQuarantined)
+							qt.Check(t, verdict.Of(err).IsNotRun(), qt.IsTrue)
 						}
+						words[0] = id + "/" + shard
+						qt.Assert(t, got, qt.Equals, strings.Join(words, " "), qt.Commentf("%s", step))
 					}
-					l.Leave(step.answer, true)
-					l.Leave(step.fail, false)
-					if step.crash != nil {
-						l.Crashed(leaf.Crash{Service: "s", VM: step.vm, Running: step.crash})
-						for _, id := range step.crash {
-							l.Leave(id, false) // the pool ends them too
-						}
-					}
-					if step.lift != "" {
-						s.lifted[step.lift] = 1
-					}
-					time.Sleep(step.wait)
 				}
 			})
 		})
