--- a/internal/fanout/fanout.go
+++ b/internal/fanout/fanout.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"cyclamenstream/api/cluster"
 	"cyclamenstream/api/config"
 	"cyclamenstream/api/event"
@@ -55,7 +57,7 @@
 	Begin(ctx context.Context, caller, requestID, service string) (intent.Intent, error)
 }
 
-// Deps are what an Executor uses; all are required.
+// Deps are what an Executor uses; all but Metrics are required.
 type Deps struct {
 	Pool     leaf.Pool
 	Owners   cluster.Ownership
@@ -64,22 +66,41 @@
 	Guard    Guard
 	Intents  Intents
 	Recorder event.Recorder
+	// Metrics takes the counters; nil counts nothing.
+	Metrics tally.Scope
 	// Node is this node's VM.
 	Node string
 }
 
+// counters are the metrics of all queries, under "fanout".
+type counters struct {
+	complete, partial, failed, restarts tally.Counter // queries
+	sends, hedges, retries, mismatches  tally.Counter // leaf requests
+}
+
+func newCounters(scope tally.Scope) counters {
+	if scope == nil {
+		scope = tally.NoopScope
+	}
+	scope = scope.SubScope("fanout")
+	return counters{complete: scope.Counter("complete"), partial: scope.Counter("partial"),
+		failed: scope.Counter("failed"), restarts: scope.Counter("restarts"), sends: scope.Counter("sends"),
+		hedges: scope.Counter("hedges"), retries: scope.Counter("retries"), mismatches: scope.Counter("mismatches")}
+}
+
 // Executor runs queries of the services that this node owns. It is safe for concurrent use.
 type Executor struct {
 	Deps
-	prefix string // makes call identifiers unique over all nodes and starts
-	calls  atomic.Uint64
+	metrics counters
+	prefix  string // makes call identifiers unique over all nodes and starts
+	calls   atomic.Uint64
 }
 
 // New returns an Executor.
 func New(d Deps) *Executor {
 	var b [8]byte
 	rand.Read(b[:]) // crypto/rand.Read never fails
-	return &Executor{Deps: d, prefix: hex.EncodeToString(b[:]) + "-"}
+	return &Executor{Deps: d, metrics: newCounters(d.Metrics), prefix: hex.EncodeToString(b[:]) + "-"}
 }
 
 func (e *Executor) newCallID() string { return e.prefix + strconv.FormatUint(e.calls.Add(1), 36) }
@@ -118,7 +139,14 @@
 	defer cancel()
 	q.ctx = ctx
 	answer, err := q.execute()
-	if err != nil {
+	e.metrics.sends.Inc(q.sent.Load())
+	switch {
+	case err == nil && answer.Coverage.Complete():
+		e.metrics.complete.Inc(1)
+	case err == nil:
+		e.metrics.partial.Inc(1)
+	default:
+		e.metrics.failed.Inc(1)
 		e.Recorder.Record(event.Event{Kind: event.QueryFailed, Service: r.Service, RequestID: r.ID,
 			Detail: string(verdict.CodeOf(err)) + ": " + verdict.Message(err)})
 	}
@@ -142,6 +170,7 @@
 		if next == nil {
 			return p.finishQuery()
 		}
+		q.metrics.restarts.Inc(1)
 		q.mayHaveRun = q.mayHaveRun || !p.notRun()
 		q.Recorder.Record(event.Event{Kind: event.QueryRestarted, Service: q.request.Service, RequestID: q.request.ID,
 			Detail: "snapshot " + snapshot.ID + " is gone, restarted on " + next.ID})
--- a/internal/fanout/fanout_test.go
+++ b/internal/fanout/fanout_test.go
@@ -298,6 +298,8 @@
 		{"ownership lost", newPool(one), a(noOwner), setup{}, "no_owner not-run 0", 0},
 		{"restart", moving(ms), b(gone), setup{}, "s2 100 completed 4", 15 * ms},
 		{"newer snapshot is reported late", moving(60 * ms), b(gone), setup{}, "s2 100 completed 4", 80 * ms},
+		{"restart beside a straggler", moving(30 * ms), on(map[string]answer{"a": slow, "b": gone}), setup{},
+			"s2 100 completed 4", 60 * ms},
 		{"restart, then refused", moving(ms), on(map[string]answer{"b": gone, "c": refused}), setup{},
 			"leaf_refused may-have-run 4", 0},
 		{"newer snapshot comes too late", moving(250 * ms), b(gone), setup{}, "s1 50 may-have-run 2", 0},
--- a/internal/fanout/pass.go
+++ b/internal/fanout/pass.go
@@ -45,15 +45,21 @@
 		go func() { outcomes <- p.ask(ctx, shard) }()
 	}
 	p.open = len(p.shards)
+	recheck := time.NewTicker(snapshotPoll) // a newer snapshot may come while a straggler runs
+	defer recheck.Stop()
 	for p.open > 0 {
 		select {
 		case o := <-outcomes:
 			p.take(o)
+			if o.gone {
+				p.newer()
+			}
+		case <-recheck.C:
+			p.newer()
 		case <-ctx.Done():
 			p.drain(outcomes)
 			return
 		}
-		p.newer()
 		if p.next != nil || p.tooLarge() {
 			cancel()
 			p.drain(outcomes)
--- a/internal/fanout/shard.go
+++ b/internal/fanout/shard.go
@@ -218,9 +218,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout+replyGrace)
 	defer cancel()
-	if k == first {
+	switch k {
+	case first:
 		a.Hedges.OnSend(a.request.Service, a.profile.HedgeBudget)
 		a.Retries.OnSend(a.request.Service, a.profile.RetryBudget)
+	case hedge:
+		a.metrics.hedges.Inc(1)
+	case retry:
+		a.metrics.retries.Inc(1)
 	}
 	a.updates <- update{started: true, vm: slot.VM(), hedgeAfter: a.hedgeDelay(slot, timeout, alone)}
 	attempt := &verdict.Attempt{}
@@ -228,6 +233,7 @@
 	reply, err := slot.Do(ctx, backend.Call{ID: id, Service: a.request.Service, Snapshot: a.snapshot.ID,
 		Shard: a.shard, Payload: a.request.Payload, Timeout: timeout, Attempt: attempt})
 	if err == nil && (reply.ID != id || reply.Snapshot != a.snapshot.ID || reply.Shard != a.shard) {
+		a.metrics.mismatches.Inc(1)
 		err = verdict.WithVerdict(verdict.MayHaveRun(), verdict.CodeInternal,
 			"shard %d on %s: answer to call %s is for call %s, snapshot %s, shard %d", a.shard, slot.VM(), id, reply.ID,
 			reply.Snapshot, reply.Shard)
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"cyclamenstream/api/cluster"
 	"cyclamenstream/api/config"
 	"cyclamenstream/api/platform"
@@ -44,7 +46,7 @@
 	Check(fingerprint string) error
 }
 
-// Deps are what a Frontend uses; all but MaxQueries and LocateTTL are required.
+// Deps are what a Frontend uses; all but MaxQueries, LocateTTL and Metrics are required.
 type Deps struct {
 	Config     config.Source
 	Members    cluster.Membership
@@ -56,14 +58,25 @@
 	MaxQueries int
 	// LocateTTL is the longest time for which callers may keep addresses, 0 for DefaultLocateTTL.
 	LocateTTL time.Duration
+	// Metrics takes, under "frontend", the latency and the coverage of each query that a caller sent to this node, and
+	// the number of errors by code; nil measures nothing.
+	Metrics tally.Scope
 }
 
 // Frontend accepts queries. It is safe for concurrent use.
 type Frontend struct {
 	Deps
 	admission admission
+	latency   tally.Histogram // seconds
+	coverage  tally.Histogram // percent
 }
 
+// The buckets of the histograms: 1 ms to 60 s in steps of a quarter, and coverage in steps that tell a small loss.
+var (
+	latencyBuckets  = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 1.25, 50)
+	coverageBuckets = tally.ValueBuckets{0, 50, 80, 90, 95, 98, 99, 99.5, 99.9, 99.99, 100}
+)
+
 // New returns a Frontend.
 func New(d Deps) *Frontend {
 	if d.MaxQueries == 0 {
@@ -72,7 +85,12 @@
 	if d.LocateTTL == 0 {
 		d.LocateTTL = DefaultLocateTTL
 	}
-	return &Frontend{Deps: d, admission: admission{max: d.MaxQueries, running: map[requestKey]struct{}{}}}
+	if d.Metrics == nil {
+		d.Metrics = tally.NoopScope
+	}
+	d.Metrics = d.Metrics.SubScope("frontend")
+	return &Frontend{Deps: d, latency: d.Metrics.Histogram("latency", latencyBuckets),
+		coverage: d.Metrics.Histogram("coverage", coverageBuckets), admission: admission{max: d.MaxQueries, running: map[requestKey]struct{}{}}}
 }
 
 // Stop refuses new queries with code CodeStopping and waits until the running ones have ended or ctx ends. It is called
@@ -81,6 +99,20 @@
 
 // Execute runs a query and returns its answer. Errors carry the verdict on the whole request.
 func (f *Frontend) Execute(ctx context.Context, r query.Request) (query.Answer, error) {
+	began := time.Now()
+	answer, err := f.execute(ctx, r)
+	switch {
+	case r.Forwarded: // measured where it came from
+	case err != nil:
+		f.Metrics.Tagged(map[string]string{"code": string(verdict.CodeOf(err))}).Counter("errors").Inc(1)
+	default:
+		f.latency.RecordDuration(time.Since(began))
+		f.coverage.RecordValue(answer.Coverage.Percent())
+	}
+	return answer, err
+}
+
+func (f *Frontend) execute(ctx context.Context, r query.Request) (query.Answer, error) {
 	r, profile, err := f.validate(r)
 	if err != nil {
 		return query.Answer{}, err
--- a/internal/intent/bucket.go
+++ b/internal/intent/bucket.go
@@ -20,6 +20,10 @@
 // or when the store recovers and returns an old version.
 const freeConflicts = 2
 
+// idleTime is the time after its last use that a bucket keeps its content in memory, up to about 3 MB. All attempts of
+// this node have expired then.
+const idleTime = Expiry + time.Second
+
 // entryOverhead is the size of an entry's tag and length in a bucket.
 const entryOverhead = 2
 
@@ -39,6 +43,7 @@
 	// stale holds attempts that were given up and that the store may hold.
 	stale map[string]*claim
 	done  map[string]bool // attempts whose end the store does not know
+	idle  *time.Timer     // frees the memory of a bucket that is not used any more; nil before its first use
 
 	// Used by the committer alone: the last known content.
 	loaded  bool
@@ -131,6 +136,9 @@
 	defer b.Manager.mu.Unlock()
 	if b.ctx.Err() == nil {
 		b.running = true
+		if b.idle != nil {
+			b.idle.Stop()
+		}
 		b.wg.Add(1)
 		go b.commitAll()
 	}
@@ -149,6 +157,7 @@
 		}
 		if b.ctx.Err() != nil || len(b.waiting)+len(b.stale) == 0 {
 			b.running = false
+			b.idle = time.AfterFunc(idleTime, b.free)
 			b.mu.Unlock()
 			return
 		}
@@ -167,6 +176,16 @@
 	}
 }
 
+// free drops the known content, and the attempts of this node that have expired.
+func (b *bucket) free() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.expireLocal(time.Now())
+	if !b.running {
+		b.loaded, b.entries = false, nil
+	}
+}
+
 func (b *bucket) pause(d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/intent/intent_test.go
+++ b/internal/intent/intent_test.go
@@ -207,8 +207,8 @@
 	})
 }
 
-// Guards against two winners of one request, a write for each intent, and a duplicate that is not told that the first
-// attempt has ended.
+// Guards against two winners of one request, a write for each intent, a duplicate that is not told that the first attempt
+// has ended, and memory that is never freed.
 func TestConcurrentAttempts(t *testing.T) {
 	withNodes(t, func(t *testing.T, s *store, nodes map[string]*Manager) {
 		const requests = 1600
@@ -235,6 +235,14 @@
 			_, err := m.Begin(t.Context(), "caller", "0", "ledger")
 			qt.Check(t, err, qt.ErrorMatches, ".*another attempt has ended and may have run; it began .*")
 		}
+		time.Sleep(2 * Expiry)
+		for _, m := range nodes {
+			for _, b := range m.buckets {
+				b.mu.Lock()
+				qt.Check(t, len(b.local)+len(b.order)+len(b.done)+len(b.entries), qt.Equals, 0)
+				b.mu.Unlock()
+			}
+		}
 	})
 }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -103,13 +103,16 @@
 	return fmt.Sprintf("%016x", d.Sum64())
 }
 
-// Run takes in crashes until ctx ends.
+// Run takes in crashes until ctx ends or the channel is closed.
 func (l *List) Run(ctx context.Context, crashes <-chan leaf.Crash) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case c := <-crashes:
+		case c, ok := <-crashes:
+			if !ok {
+				return
+			}
 			l.Crashed(c)
 		}
 	}
