Stop retries of calls that got no slot

Cause: after a call whose check before the send had failed, a retry that got no slot was retried at once and without a budget, in a loop that kept a processor busy until the deadline. A leaf that stopped a call at its timeout was not retried although time was left, because its code is that of an ended query. Before: the new case "leaf out of service, no slot on the other" ran into the test's time limit of 60 s; "leaf stops at its timeout" ended without an answer. After: only a call that had a slot is retried. A hedge that got no slot waits twice as long for the next try. Conclusion: both cases pass; the first ends within 2 ms.

--- a/internal/fanout/fanout_test.go
+++ b/internal/fanout/fanout_test.go
@@ -25,10 +25,16 @@
 	"cyclamenstream/api/verdict"
 	"cyclamenstream/internal/fanout/budget"
 	"cyclamenstream/internal/intent"
+	"cyclamenstream/internal/quarantine"
 )
 
 const ms = time.Millisecond
 
+var (
+	_ Guard   = (*quarantine.List)(nil)
+	_ Intents = (*intent.Manager)(nil)
+)
+
 // answer is what a leaf does with one call.
 type answer struct {
 	after   time.Duration
@@ -101,7 +107,8 @@
 }
 
 var codes = map[error]verdict.Code{backend.ErrRefused: verdict.CodeLeafRefused,
-	backend.ErrSnapshotGone: verdict.CodeSnapshotGone, backend.ErrSessionLost: verdict.CodeSessionLost}
+	backend.ErrSnapshotGone: verdict.CodeSnapshotGone, backend.ErrSessionLost: verdict.CodeSessionLost,
+	backend.ErrStopped: verdict.CodeDeadline}
 
 type slot struct {
 	*pool
@@ -235,6 +242,13 @@
 	}}
 	duplicate.beginErr = verdict.WithVerdict(verdict.MayHaveRun(), verdict.CodeDuplicate, "held")
 	noSlot.acquire = func(context.Context) error { return verdict.Refusef(verdict.CodeOverloaded, "no slot") }
+	slots, longer := 0, setup{retries: 1, change: func(p *config.Profile) { p.Deadline *= 2 }}
+	oneSlot := setup{acquire: func(context.Context) error {
+		if slots++; slots > 1 {
+			return verdict.Refusef(verdict.CodeOverloaded, "no slot")
+		}
+		return nil
+	}}
 	noHedges := setup{hedges: 1, change: func(p *config.Profile) { p.HedgeBudget = 0 }}
 	noMinimum := setup{change: func(p *config.Profile) { p.LeastCoverage = 0 }}
 	small := setup{change: func(p *config.Profile) { p.MaxResultBytes = 100 }}
@@ -273,6 +287,9 @@
 		{"lost, then refused", newPool(either), on(map[string]answer{"a": lost, "b": refused}), setup{retries: 1},
 			"leaf_refused may-have-run 2", 0},
 		{"leaf out of service at the send", newPool(either), a(out), setup{}, "s1 100 completed 1", 0},
+		{"leaf out of service, no slot on the other", newPool(either), a(out), oneSlot, "overloaded not-run 0", 2 * ms},
+		{"leaf stops at its timeout", newPool(either), a(answer{after: 155 * ms, err: backend.ErrStopped}), longer,
+			"s1 100 completed 2", 160 * ms},
 		{"nothing answered", newPool(one), a(lost), noMinimum, "coverage_too_low may-have-run 1", 0},
 		{"no slot in time", newPool(one), nil, tooLong, "deadline_exceeded not-run 0", 0},
 		{"all refused", newPool(either), on(map[string]answer{"a": refused, "b": refused}), setup{retries: 1},
--- a/internal/fanout/shard.go
+++ b/internal/fanout/shard.go
@@ -39,7 +39,8 @@
 
 // update is a message from a call to the goroutine of its shard.
 type update struct {
-	// started says that the call is about to be sent to vm; otherwise the call has ended.
+	// started says that the call is about to be sent to vm; otherwise the call has ended. A call that got no slot has no
+	// vm.
 	started    bool
 	vm         string
 	hedgeAfter time.Duration // 0 if the call must not be hedged
@@ -105,7 +106,7 @@
 			if u.kind != hedge || u.sent {
 				a.ended = append(a.ended, u)
 			} else if running > 0 {
-				arm(hedgeAfter) // no slot or no budget now
+				arm(2 * hedgeAfter) // no slot or no budget now
 			}
 			if running == 0 && a.mayRetry(ctx) {
 				hedgeDue = nil
@@ -158,11 +159,11 @@
 // load and needs no budget.
 func (a *asker) mayRetry(ctx context.Context) bool {
 	u := a.ended[len(a.ended)-1]
-	if a.request.NonIdempotent || ctx.Err() != nil || a.sends == 0 || a.sends >= maxSends || !a.untried() {
+	if a.request.NonIdempotent || ctx.Err() != nil || u.vm == "" || a.sends >= maxSends || !a.untried() {
 		return false
 	}
 	switch verdict.CodeOf(u.err) {
-	case verdict.CodeNoOwner, verdict.CodeStale, verdict.CodeQuarantined, verdict.CodeDeadline:
+	case verdict.CodeNoOwner, verdict.CodeStale:
 		return false
 	}
 	if isGone(u.err) && a.timeToRestart() {
@@ -239,9 +240,9 @@
 			reply.Snapshot, reply.Shard)
 	}
 	if err == nil {
-		return update{reply: reply, sent: true, verdict: verdict.Completed()}
+		return update{vm: slot.VM(), reply: reply, sent: true, verdict: verdict.Completed()}
 	}
-	u := update{err: err, sent: true}
+	u := update{vm: slot.VM(), err: err, sent: true}
 	// Both the error and the attempt must say that the call did not run.
 	if v := verdict.Of(err); v.IsNotRun() && attempt.Verdict().IsNotRun() {
 		u.verdict = v
