--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -26,8 +26,8 @@
 	cluster.Ownership
 	mu       sync.Mutex
 	document *config.Document
-	stale    bool
-	poison   string // payload that is quarantined
+	stale    error            // of CheckFresh
+	poison   map[string]error // of Check, by payload
 	owner    func(at time.Duration) string
 	began    time.Time
 	changed  chan struct{} // members
@@ -49,23 +49,10 @@
 	}
 	return all
 }
-func (w *world) Fingerprint(_ string, p []byte) string { return string(p) }
-
+func (w *world) Fingerprint(_ string, p []byte) string            { return string(p) }
 func (w *world) Owned() ([]cluster.OwnedService, <-chan struct{}) { return nil, w.owned }
-
-func (w *world) CheckFresh() error {
-	if w.stale {
-		return verdict.Refusef(verdict.CodeStale, "stale")
-	}
-	return nil
-}
-
-func (w *world) Check(fingerprint string) error {
-	if w.poison != "" && fingerprint == w.poison {
-		return verdict.Refusef(verdict.CodeQuarantined, "quarantined")
-	}
-	return nil
-}
+func (w *world) CheckFresh() error                                { return w.stale }
+func (w *world) Check(fingerprint string) error                   { return w.poison[fingerprint] }
 
 func (w *world) Owner(string) (cluster.Owner, bool) {
 	id := w.owner(time.Since(w.began))
@@ -89,33 +76,27 @@
 }
 
 func vm(id string) platform.VM {
-	zone := "z0"
-	if id >= "n2" {
-		zone = "z1"
-	}
-	return platform.VM{ID: id, Zone: zone, CallerAddress: id + ":80"}
+	return platform.VM{ID: id, Zone: map[bool]string{false: "z0", true: "z1"}[id >= "n2"], CallerAddress: id + ":80"}
 }
 
+var stale = verdict.Refusef(verdict.CodeStale, "stale")
+
 func owned(by string) func(time.Duration) string { return func(time.Duration) string { return by } }
 
 // moves returns an owner that changes at a time.
 func moves(from string, at time.Duration, to string) func(time.Duration) string {
-	return func(t time.Duration) string {
-		if t < at {
-			return from
-		}
-		return to
-	}
+	return func(t time.Duration) string { return map[bool]string{true: from, false: to}[t < at] }
 }
 
 func newWorld() *world {
 	profile := config.Profile{Deadline: config.Duration(time.Second), Priority: 5}
 	once := profile
 	once.NonIdempotent = true
-	return &world{fail: func(int) error { return nil }, owner: owned("n0"), began: time.Now(), changed: make(chan struct{}), owned: make(chan struct{}), document: &config.Document{
-		Profiles: map[string]config.Profile{"p": profile, "once": once, "other": profile},
-		Services: map[string]config.Service{"s": {Profile: "p", ExtraProfiles: []string{"once", "missing"}}},
-		ZonesOut: map[string]uint64{}, VMsOut: map[string]uint64{}}}
+	return &world{fail: func(int) error { return nil }, owner: owned("n0"), began: time.Now(),
+		changed: make(chan struct{}), owned: make(chan struct{}), document: &config.Document{
+			Profiles: map[string]config.Profile{"p": profile, "once": once, "other": profile},
+			Services: map[string]config.Service{"s": {Profile: "p", ExtraProfiles: []string{"once", "missing"}}},
+			ZonesOut: map[string]uint64{}, VMsOut: map[string]uint64{}}}
 }
 
 func (w *world) frontend() *Frontend {
@@ -168,10 +149,11 @@
 			"invalid_request not-run", 0},
 		{"deadline passed", none, -ms, nil, "deadline_exceeded not-run", 0},
 		{"no configuration", none, 0, func(w *world) { w.document = nil }, "stale_node not-run", 0},
-		{"stale without an owner", none, 0, func(w *world) { w.stale, w.owner = true, owned("") },
+		{"stale without an owner", none, 0, func(w *world) { w.stale, w.owner = stale, owned("") },
 			"stale_node not-run", 0},
-		{"quarantined", query.Request{Service: "s", Payload: []byte("x")}, 0, func(w *world) { w.poison, w.owner = "x", owned("n1") },
-			"quarantined not-run", 0},
+		{"quarantined", query.Request{Service: "s", Payload: []byte("x")}, 0, func(w *world) {
+			w.poison, w.owner = map[string]error{"x": notRun(verdict.CodeQuarantined)}, owned("n1")
+		}, "quarantined not-run", 0},
 		{"members change", none, 0, signal(func(w *world) { close(w.changed) }), "n2", 500 * ms},
 		{"ownership changes", none, 0, signal(func(w *world) { close(w.owned) }), "n2", 500 * ms},
 		{"change is not told", none, 0, owner(moves("", 500*ms, "n2")), "n2", 700 * ms},
@@ -286,7 +268,7 @@
 		{"zone out", func(w *world) { w.owner, w.document.ZonesOut["z1"] = owned("n2"), 1 }, []string{"n0n1", "n0n1"}, ""},
 		{"VM out", func(w *world) { w.document.VMsOut["n1"] = 1 }, []string{"n0", "n2n3", "n2n3"}, ""},
 		{"unknown service", func(w *world) { w.document.Services = nil }, nil, verdict.CodeUnknown},
-		{"stale", func(w *world) { w.stale = true }, nil, verdict.CodeStale},
+		{"stale", func(w *world) { w.stale = stale }, nil, verdict.CodeStale},
 		{"nobody", func(w *world) { w.document.ZonesOut = map[string]uint64{"z0": 1, "z1": 1} }, nil, verdict.CodeNoOwner},
 	}
 	for _, test := range tests {
