Limit the events of failed queries and of intents

Cause: each failed query and each write of intents recorded an event. The time line of a process keeps 4096; 300 failed queries/s would have pushed everything else out of it within 14 s. Before: one event each. After: at most 10 events/s of failed and restarted queries on a node, and one a second for each bucket of intents with the number written since. The counters count all. Conclusion: the time line keeps changes of state during an overload.

--- a/internal/fanout/fanout.go
+++ b/internal/fanout/fanout.go
@@ -31,6 +31,9 @@
 	maxReserve   = 20 * time.Millisecond
 	// snapshotPoll is the interval at which a query without a usable snapshot looks for one.
 	snapshotPoll = 10 * time.Millisecond
+	// eventInterval is the least time between two recorded events. Without it a burst of failed queries would push
+	// everything else out of the time line; the counters count all of them.
+	eventInterval = 100 * time.Millisecond
 )
 
 // Budget limits extra leaf requests to a share of the first sends of a service.
@@ -94,6 +97,8 @@
 	metrics counters
 	prefix  string // makes call identifiers unique over all nodes and starts
 	calls   atomic.Uint64
+	// nextEvent is the time before which no event is recorded, in nanoseconds since 1970.
+	nextEvent atomic.Int64
 }
 
 // New returns an Executor.
@@ -147,12 +152,20 @@
 		e.metrics.partial.Inc(1)
 	default:
 		e.metrics.failed.Inc(1)
-		e.Recorder.Record(event.Event{Kind: event.QueryFailed, Service: r.Service, RequestID: r.ID,
-			Detail: string(verdict.CodeOf(err)) + ": " + verdict.Message(err)})
+		q.record(event.QueryFailed, string(verdict.CodeOf(err))+": "+verdict.Message(err))
 	}
 	return answer, err
 }
 
+// record records an event of the query unless one was recorded just before.
+func (q *run) record(kind event.Kind, detail string) {
+	now, next := time.Now().UnixNano(), q.nextEvent.Load()
+	if now < next || !q.nextEvent.CompareAndSwap(next, now+int64(eventInterval)) {
+		return
+	}
+	q.Recorder.Record(event.Event{Kind: kind, Service: q.request.Service, RequestID: q.request.ID, Detail: detail})
+}
+
 // execute runs passes until one is not to be repeated on a newer snapshot.
 func (q *run) execute() (query.Answer, error) {
 	snapshot, err := q.pin()
@@ -172,8 +185,7 @@
 		}
 		q.metrics.restarts.Inc(1)
 		q.mayHaveRun = q.mayHaveRun || !p.notRun()
-		q.Recorder.Record(event.Event{Kind: event.QueryRestarted, Service: q.request.Service, RequestID: q.request.ID,
-			Detail: "snapshot " + snapshot.ID + " is gone, restarted on " + next.ID})
+		q.record(event.QueryRestarted, "snapshot "+snapshot.ID+" is gone, restarted on "+next.ID)
 		snapshot = *next
 	}
 }
--- a/internal/fanout/fanout_test.go
+++ b/internal/fanout/fanout_test.go
@@ -23,9 +23,11 @@
 	"cyclamenstream/api/leaf"
 	"cyclamenstream/api/query"
 	"cyclamenstream/api/verdict"
+	"cyclamenstream/internal/clock"
 	"cyclamenstream/internal/fanout/budget"
 	"cyclamenstream/internal/intent"
 	"cyclamenstream/internal/quarantine"
+	"cyclamenstream/internal/timeline"
 )
 
 const ms = time.Millisecond
@@ -348,6 +350,18 @@
 	}
 }
 
+// Guards against a burst of failed queries that pushes everything else out of the time line.
+func TestEventsAreLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		buffer, e := timeline.NewBuffer(clock.New(time.Now), "n", "z", 1000), newPool(snapshot(1, "a")).executor(0, 0)
+		e.Recorder = buffer
+		for began := time.Now(); time.Since(began) < time.Second; time.Sleep(ms) {
+			e.Run(t.Context(), query.Request{Shards: []uint32{7}}, profile)
+		}
+		qt.Assert(t, buffer.Events(), qt.HasLen, int(time.Second/eventInterval))
+	})
+}
+
 // Guards against answers that mix snapshots, count coverage wrongly, repeat or lose a shard, come late, or claim "not
 // run" for a call that may have run, while leaves change snapshots and answer late, doubled, crossed and partially.
 func TestAnswersComeFromOneSnapshot(t *testing.T) {
--- a/internal/intent/bucket.go
+++ b/internal/intent/bucket.go
@@ -26,6 +26,9 @@
 // this node have expired then.
 const idleTime = Expiry + time.Second
 
+// eventInterval is the least time between two events of a bucket.
+const eventInterval = time.Second
+
 // entryOverhead is the size of an entry's tag and length in a bucket.
 const entryOverhead = 2
 
@@ -53,6 +56,9 @@
 	entries map[string]*intentpb.Entry // by request
 	size    int
 	version uint64
+	// unrecorded counts the intents written since the last event, at recorded.
+	unrecorded int
+	recorded   time.Time
 }
 
 // add queues an attempt unless this node knows of another one for its request.
@@ -227,10 +233,7 @@
 	b.version = version
 	b.metrics.writes.Inc(1)
 	b.metrics.intents.Inc(int64(len(batch.added)))
-	if len(batch.added) > 0 {
-		b.recorder.Record(event.Event{Kind: event.IntentWritten, Service: b.service,
-			Detail: fmt.Sprintf("%d intents in %s at version %d", len(batch.added), b.key, version)})
-	}
+	b.record(len(batch.added))
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, c := range batch.added {
@@ -245,6 +248,18 @@
 	return nil
 }
 
+// record counts written intents and records an event for them at most once in each interval, so that many writes do not
+// push everything else out of the time line.
+func (b *bucket) record(intents int) {
+	b.unrecorded += intents
+	if b.unrecorded == 0 || time.Since(b.recorded) < eventInterval {
+		return
+	}
+	b.recorder.Record(event.Event{Kind: event.IntentWritten, Service: b.service,
+		Detail: fmt.Sprintf("%d intents in %s, now at version %d", b.unrecorded, b.key, b.version)})
+	b.unrecorded, b.recorded = 0, time.Now()
+}
+
 // drop forgets a stale attempt that the store certainly does not hold and never will.
 func (b *bucket) drop(c *claim) {
 	delete(b.stale, c.attempt)
--- a/internal/intent/intent.go
+++ b/internal/intent/intent.go
@@ -79,7 +79,7 @@
 	writes, conflicts, unknown, intents, duplicates, released tally.Counter
 }
 
-// New returns a Manager that writes to the store and records an event for each write. metrics takes the counters; nil
+// New returns a Manager that writes to the store and records events of them. metrics takes the counters; nil
 // counts nothing.
 func New(store platform.Store, recorder event.Recorder, metrics tally.Scope) *Manager {
 	if metrics == nil {
