--- a/internal/fanout/fanout.go
+++ b/internal/fanout/fanout.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"cyclamenstream/api/cluster"
 	"cyclamenstream/api/config"
 	"cyclamenstream/api/event"
@@ -29,6 +31,9 @@
 	maxReserve   = 20 * time.Millisecond
 	// snapshotPoll is the interval at which a query without a usable snapshot looks for one.
 	snapshotPoll = 10 * time.Millisecond
+	// eventInterval is the least time between two recorded events. Without it a burst of failed queries would push
+	// everything else out of the time line; the counters count all of them.
+	eventInterval = 100 * time.Millisecond
 )
 
 // Budget limits extra leaf requests to a share of the first sends of a service.
@@ -55,7 +60,7 @@
 	Begin(ctx context.Context, caller, requestID, service string) (intent.Intent, error)
 }
 
-// Deps are what an Executor uses; all are required.
+// Deps are what an Executor uses; all but Metrics are required.
 type Deps struct {
 	Pool     leaf.Pool
 	Owners   cluster.Ownership
@@ -64,22 +69,43 @@
 	Guard    Guard
 	Intents  Intents
 	Recorder event.Recorder
+	// Metrics takes the counters; nil counts nothing.
+	Metrics tally.Scope
 	// Node is this node's VM.
 	Node string
 }
 
+// counters are the metrics of all queries, under "fanout".
+type counters struct {
+	complete, partial, failed, restarts tally.Counter // queries
+	sends, hedges, retries, mismatches  tally.Counter // leaf requests
+}
+
+func newCounters(scope tally.Scope) counters {
+	if scope == nil {
+		scope = tally.NoopScope
+	}
+	scope = scope.SubScope("fanout")
+	return counters{complete: scope.Counter("complete"), partial: scope.Counter("partial"),
+		failed: scope.Counter("failed"), restarts: scope.Counter("restarts"), sends: scope.Counter("sends"),
+		hedges: scope.Counter("hedges"), retries: scope.Counter("retries"), mismatches: scope.Counter("mismatches")}
+}
+
 // Executor runs queries of the services that this node owns. It is safe for concurrent use.
 type Executor struct {
 	Deps
-	prefix string // makes call identifiers unique over all nodes and starts
-	calls  atomic.Uint64
+	metrics counters
+	prefix  string // makes call identifiers unique over all nodes and starts
+	calls   atomic.Uint64
+	// nextEvent is the time before which no event is recorded, in nanoseconds since 1970.
+	nextEvent atomic.Int64
 }
 
 // New returns an Executor.
 func New(d Deps) *Executor {
 	var b [8]byte
 	rand.Read(b[:]) // crypto/rand.Read never fails
-	return &Executor{Deps: d, prefix: hex.EncodeToString(b[:]) + "-"}
+	return &Executor{Deps: d, metrics: newCounters(d.Metrics), prefix: hex.EncodeToString(b[:]) + "-"}
 }
 
 func (e *Executor) newCallID() string { return e.prefix + strconv.FormatUint(e.calls.Add(1), 36) }
@@ -118,13 +144,28 @@
 	defer cancel()
 	q.ctx = ctx
 	answer, err := q.execute()
-	if err != nil {
-		e.Recorder.Record(event.Event{Kind: event.QueryFailed, Service: r.Service, RequestID: r.ID,
-			Detail: string(verdict.CodeOf(err)) + ": " + verdict.Message(err)})
+	e.metrics.sends.Inc(q.sent.Load())
+	switch {
+	case err == nil && answer.Coverage.Complete():
+		e.metrics.complete.Inc(1)
+	case err == nil:
+		e.metrics.partial.Inc(1)
+	default:
+		e.metrics.failed.Inc(1)
+		q.record(event.QueryFailed, string(verdict.CodeOf(err))+": "+verdict.Message(err))
 	}
 	return answer, err
 }
 
+// record records an event of the query unless one was recorded just before.
+func (q *run) record(kind event.Kind, detail string) {
+	now, next := time.Now().UnixNano(), q.nextEvent.Load()
+	if now < next || !q.nextEvent.CompareAndSwap(next, now+int64(eventInterval)) {
+		return
+	}
+	q.Recorder.Record(event.Event{Kind: kind, Service: q.request.Service, RequestID: q.request.ID, Detail: detail})
+}
+
 // execute runs passes until one is not to be repeated on a newer snapshot.
 func (q *run) execute() (query.Answer, error) {
 	snapshot, err := q.pin()
@@ -142,9 +183,9 @@
 		if next == nil {
 			return p.finishQuery()
 		}
+		q.metrics.restarts.Inc(1)
 		q.mayHaveRun = q.mayHaveRun || !p.notRun()
-		q.Recorder.Record(event.Event{Kind: event.QueryRestarted, Service: q.request.Service, RequestID: q.request.ID,
-			Detail: "snapshot " + snapshot.ID + " is gone, restarted on " + next.ID})
+		q.record(event.QueryRestarted, "snapshot "+snapshot.ID+" is gone, restarted on "+next.ID)
 		snapshot = *next
 	}
 }
--- a/internal/fanout/pass.go
+++ b/internal/fanout/pass.go
@@ -45,15 +45,21 @@
 		go func() { outcomes <- p.ask(ctx, shard) }()
 	}
 	p.open = len(p.shards)
+	recheck := time.NewTicker(snapshotPoll) // a newer snapshot may come while a straggler runs
+	defer recheck.Stop()
 	for p.open > 0 {
 		select {
 		case o := <-outcomes:
 			p.take(o)
+			if o.gone {
+				p.newer()
+			}
+		case <-recheck.C:
+			p.newer()
 		case <-ctx.Done():
 			p.drain(outcomes)
 			return
 		}
-		p.newer()
 		if p.next != nil || p.tooLarge() {
 			cancel()
 			p.drain(outcomes)
@@ -168,7 +174,8 @@
 }
 
 // failure is the error of a query whose coverage is too low. Causes that concern the whole request keep their code, as
-// does a cause that all shards share.
+// does a cause that all shards share. A lost leaf session does not: to the entry node that code means a lost owner, and
+// it would send the query again.
 func (p *pass) failure(v verdict.Verdict, c query.Coverage) error {
 	code, reason := verdict.CodeCoverage, "no leaf answered in time"
 	if len(p.failures) > 0 {
@@ -181,7 +188,7 @@
 			verdict.CodeQuarantined:
 			return verdict.WithVerdict(v, cause, "%s", verdict.Message(o.err))
 		default:
-			shared = shared && cause == verdict.CodeOf(p.failures[0].err)
+			shared = shared && cause == verdict.CodeOf(p.failures[0].err) && cause != verdict.CodeSessionLost
 		}
 	}
 	if shared {
--- a/internal/intent/bucket.go
+++ b/internal/intent/bucket.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -11,6 +12,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"cyclamenstream/api/event"
 	"cyclamenstream/api/platform"
 	"cyclamenstream/api/verdict"
 	"cyclamenstream/gen/intentpb"
@@ -20,14 +22,22 @@
 // or when the store recovers and returns an old version.
 const freeConflicts = 2
 
+// idleTime is the time after its last use that a bucket keeps its content in memory, up to about 3 MB. All attempts of
+// this node have expired then.
+const idleTime = Expiry + time.Second
+
+// eventInterval is the least time between two events of a bucket.
+const eventInterval = time.Second
+
 // entryOverhead is the size of an entry's tag and length in a bucket.
 const entryOverhead = 2
 
 // bucket is one key of the store with the attempts of this node that concern it.
 type bucket struct {
 	*Manager
-	key  string
-	kick chan struct{} // ends the wait after a failed call
+	key     string
+	service string
+	kick    chan struct{} // ends the wait after a failed call
 
 	mu      sync.Mutex
 	running bool     // whether the committer runs
@@ -39,12 +49,16 @@
 	// stale holds attempts that were given up and that the store may hold.
 	stale map[string]*claim
 	done  map[string]bool // attempts whose end the store does not know
+	idle  *time.Timer     // frees the memory of a bucket that is not used any more; nil before its first use
 
 	// Used by the committer alone: the last known content.
 	loaded  bool
 	entries map[string]*intentpb.Entry // by request
 	size    int
 	version uint64
+	// unrecorded counts the intents written since the last event, at recorded.
+	unrecorded int
+	recorded   time.Time
 }
 
 // add queues an attempt unless this node knows of another one for its request.
@@ -131,6 +145,9 @@
 	defer b.Manager.mu.Unlock()
 	if b.ctx.Err() == nil {
 		b.running = true
+		if b.idle != nil {
+			b.idle.Stop()
+		}
 		b.wg.Add(1)
 		go b.commitAll()
 	}
@@ -149,6 +166,7 @@
 		}
 		if b.ctx.Err() != nil || len(b.waiting)+len(b.stale) == 0 {
 			b.running = false
+			b.idle = time.AfterFunc(idleTime, b.free)
 			b.mu.Unlock()
 			return
 		}
@@ -167,6 +185,16 @@
 	}
 }
 
+// free drops the known content, and the attempts of this node that have expired.
+func (b *bucket) free() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.expireLocal(time.Now())
+	if !b.running {
+		b.loaded, b.entries = false, nil
+	}
+}
+
 func (b *bucket) pause(d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -203,6 +231,9 @@
 		return err
 	}
 	b.version = version
+	b.metrics.writes.Inc(1)
+	b.metrics.intents.Inc(int64(len(batch.added)))
+	b.record(len(batch.added))
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, c := range batch.added {
@@ -217,6 +248,18 @@
 	return nil
 }
 
+// record counts written intents and records an event for them at most once in each interval, so that many writes do not
+// push everything else out of the time line.
+func (b *bucket) record(intents int) {
+	b.unrecorded += intents
+	if b.unrecorded == 0 || time.Since(b.recorded) < eventInterval {
+		return
+	}
+	b.recorder.Record(event.Event{Kind: event.IntentWritten, Service: b.service,
+		Detail: fmt.Sprintf("%d intents in %s, now at version %d", b.unrecorded, b.key, b.version)})
+	b.unrecorded, b.recorded = 0, time.Now()
+}
+
 // drop forgets a stale attempt that the store certainly does not hold and never will.
 func (b *bucket) drop(c *claim) {
 	delete(b.stale, c.attempt)
@@ -359,6 +402,7 @@
 func (b *bucket) failed(todo batch, err error) {
 	switch {
 	case errors.Is(err, platform.ErrConflict):
+		b.metrics.conflicts.Inc(1)
 		b.unsend(todo)
 	case errors.Is(err, platform.ErrTooLarge):
 		b.unsend(todo)
@@ -366,6 +410,8 @@
 	case errors.Is(err, platform.ErrNotSent):
 		b.unsend(todo)
 		b.storeDown(err)
+	default:
+		b.metrics.unknown.Inc(1)
 	}
 }
 
