Join query execution, the HTTP server's time limits and the commands

Cause: parts built side by side had to be wired with their final constructors. Before: budgets of hedges began with two free requests, slow callers were not bounded. After: hedges begin with none, the HTTP server has read, write and idle limits, node and demo have examples that a test parses.

--- a/cmd/cyclamenstream/demo.go
+++ b/cmd/cyclamenstream/demo.go
@@ -18,7 +18,10 @@
 func (demoCommand) Help() string {
 	return `Starts a stand-in platform, leaves of a small service in three zones and three nodes in this process, sends
 queries, takes a zone out and brings it back. Ends by itself within 30 s. The exit code is 0 only if every query was
-answered, completely or with its true coverage.`
+answered, completely or with its true coverage.
+
+Example:
+  cyclamenstream demo --verbose`
 }
 
 // Run runs the demo.
--- a/cmd/cyclamenstream/node.go
+++ b/cmd/cyclamenstream/node.go
@@ -13,13 +13,16 @@
 )
 
 type nodeCommand struct {
-	Settings string `required:"" type:"existingfile" help:"TOML settings file of this node."`
+	Settings string `required:"" help:"TOML settings file of this node."`
 }
 
 // Help shows how to write the settings file.
 func (nodeCommand) Help() string {
 	return `Runs until SIGTERM or an interrupt, then stops gracefully.
 
+Example:
+  cyclamenstream node --settings /etc/cyclamenstream/node.toml
+
 Example of a settings file:
   vm = "vm-17"
   zone = "z1"
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -29,14 +29,8 @@
 	"cyclamenstream/internal/timeline"
 )
 
-const (
-	// readHeaderTimeout bounds how long a caller may take to send its headers.
-	readHeaderTimeout = 5 * time.Second
-	// idleTimeout is longer than the pause between two queries of a caller that keeps its connection.
-	idleTimeout = 2 * time.Minute
-	// retainInterval is how often connections to nodes that are gone are closed.
-	retainInterval = 30 * time.Second
-)
+// retainInterval is how often connections to nodes that are gone are closed.
+const retainInterval = 30 * time.Second
 
 // parts are the components that the lifecycle starts and stops.
 type parts struct {
@@ -72,12 +66,8 @@
 	p.Members.SetQuarantine(p.Quarantine)
 	l := &lifecycle{parts: p}
 	l.peerServer = peerrpc.NewServer(peerrpc.Deps{Members: p.Members, Queries: p.Frontend, Events: p.Timeline.Events})
-	l.httpServer = &http.Server{
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		Handler: httpapi.New(httpapi.Deps{Queries: p.Frontend, Locator: p.Frontend, Admin: p.Admin, Ready: l.ready,
-			Metrics: p.Reporter.HTTPHandler(), MaxBodyBytes: p.Settings.MaxBodyBytes, Scope: p.Scope}),
-	}
+	l.httpServer = httpapi.NewServer(httpapi.New(httpapi.Deps{Queries: p.Frontend, Locator: p.Frontend, Admin: p.Admin,
+		Ready: l.ready, Metrics: p.Reporter.HTTPHandler(), MaxBodyBytes: p.Settings.MaxBodyBytes, Scope: p.Scope}))
 	return l
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,10 +40,10 @@
 	startTimeout = 10 * time.Second
 	// metricsInterval is how often counters are handed to the read-out.
 	metricsInterval = time.Second
-	// budgetInitial and budgetMax let a service hedge or retry a few requests before its first sends have earned any,
-	// and bound what it can save up for a burst.
-	budgetInitial = 2
-	budgetMax     = 20
+	// retryInitial lets a service retry before its first sends have earned any budget. Hedges start with none, so that
+	// they never exceed their share of extra load by more than what was saved up.
+	retryInitial = 3
+	budgetMax    = 10
 )
 
 // New returns the application of one node. Start opens its listeners; Stop is a graceful shutdown.
@@ -132,18 +132,19 @@
 	return quarantine.New(source, events)
 }
 
-func newIntents(lc fx.Lifecycle, store platform.Store) *intent.Manager {
-	m := intent.New(store)
+func newIntents(lc fx.Lifecycle, store platform.Store, events event.Recorder, scope tally.Scope) *intent.Manager {
+	m := intent.New(store, events, scope)
 	lc.Append(fx.StopHook(m.Close))
 	return m
 }
 
 func newFanout(self platform.VM, pool leaf.Pool, owners cluster.Ownership, guard *quarantine.List,
-	intents *intent.Manager, events event.Recorder) *fanout.Executor {
+	intents *intent.Manager, events event.Recorder, scope tally.Scope) *fanout.Executor {
 	return fanout.New(fanout.Deps{
 		Pool: pool, Owners: owners, Guard: guard, Intents: intents, Recorder: events, Node: self.ID,
-		Hedges:  budget.New(budgetInitial, budgetMax),
-		Retries: budget.New(budgetInitial, budgetMax),
+		Hedges:  budget.New(0, budgetMax),
+		Retries: budget.New(retryInitial, budgetMax),
+		Metrics: scope,
 	})
 }
 
