--- a/internal/member/heartbeat.go
+++ b/internal/member/heartbeat.go
@@ -236,6 +236,11 @@
 			delete(n.peers, id)
 		}
 	}
+	if !n.ready(now, n.CheckFresh() == nil) {
+		n.readySince = 0
+	} else if n.readySince == 0 {
+		n.readySince = now
+	}
 	n.relay.SetWatching(n.isWatcher(v, now))
 }
 
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -27,8 +27,11 @@
 	HeartbeatInterval = 250 * time.Millisecond
 	// heardLimit is the age of an answered heartbeat up to which a member counts as heard for the store-down rule and
 	// for accepting changes: four heartbeats.
-	heardLimit   = time.Second
-	pingTimeout  = time.Second
+	heardLimit  = time.Second
+	pingTimeout = time.Second
+	// claimDelay is how long a node must be ready before it claims services that it does not own: two heartbeats, in
+	// which it learns which others are ready. Nodes that start together would split the acknowledgements otherwise.
+	claimDelay   = 2 * HeartbeatInterval
 	shutdownStep = 50 * time.Millisecond
 	// rebalanceAfter is how long a higher-ranked member must be alive and ready before it is given a service.
 	rebalanceAfter = 5 * time.Second
@@ -89,10 +92,12 @@
 	view     atomic.Pointer[view]
 	basis    atomic.Pointer[[2]instant] // when the documents that view is built from were last confirmed
 	majority atomic.Bool                // as of the last heartbeat
-	excuses  [2]atomic.Pointer[excuse]
-	hints    atomic.Pointer[map[string]platform.VM]
-	stop     atomic.Bool
-	fresh    atomic.Bool // as last recorded in the time line
+	// readySince is since when this node is ready, 0 if it is not. It is guarded by mu.
+	readySince instant
+	excuses    [2]atomic.Pointer[excuse]
+	hints      atomic.Pointer[map[string]platform.VM]
+	stop       atomic.Bool
+	fresh      atomic.Bool // as last recorded in the time line
 
 	handover   atomic.Pointer[cluster.HandoverSource]
 	quarantine atomic.Pointer[Quarantine]
--- a/internal/member/owner.go
+++ b/internal/member/owner.go
@@ -34,6 +34,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	candidates := n.eligible(v, now, now)
+	settled := n.readySince > 0 && now-n.readySince >= claimDelay
 	var services []string
 	for _, service := range v.services {
 		if n.moving[service] {
@@ -45,7 +46,7 @@
 		case owns || n.ledger.inherits(service, now):
 			delete(n.claims, service)
 			services = append(services, service)
-		case found && preferred.ID == n.self.ID && n.patient(service, now):
+		case settled && found && preferred.ID == n.self.ID && n.patient(service, now):
 			services = append(services, service)
 		}
 	}
