--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -30,8 +30,8 @@
 	PollInterval = 500 * time.Millisecond
 	// readTimeout bounds a read. Reads overlap, so that a source that takes up to this time still confirms.
 	readTimeout = 1500 * time.Millisecond
-	// fallbackAge is the age of a confirmation above which a node that is no watcher reads the source itself: half of
-	// the freshness limit of 2 s.
+	// fallbackAge is the age of the newest confirmation from a peer above which a node that is no watcher reads the
+	// source itself: half of the freshness limit of 2 s.
 	fallbackAge = time.Second
 	// fetchTimeout bounds the call that fetches a document from a peer.
 	fetchTimeout = 2 * time.Second
@@ -57,6 +57,8 @@
 	version   atomic.Uint64
 	parsed    atomic.Value
 	confirmed atomic.Int64 // time of the newest confirmation after Relay.base, in nanoseconds; 0 for none
+	// peerConfirmed is the newest confirmation that a peer has told of, in the same unit.
+	peerConfirmed atomic.Int64
 }
 
 // Relay holds the documents at their highest versions. It is safe for concurrent use.
@@ -230,7 +232,7 @@
 			at = sentAt.Add(-time.Duration(v.ConfirmedAgeMs) * time.Millisecond)
 		}
 		if d.version.Load() >= v.Version {
-			r.confirm(d, v.Version, at)
+			r.confirm(d, v.Version, at, false)
 			continue
 		}
 		r.fetch(d, from, v.Version, at)
@@ -238,13 +240,16 @@
 }
 
 // confirm notes that at the given time no version above the given one existed.
-func (r *Relay) confirm(d *document, version uint64, at time.Time) {
+func (r *Relay) confirm(d *document, version uint64, at time.Time, ownRead bool) {
 	offset := int64(at.Sub(r.base))
 	if at.IsZero() || offset <= 0 {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if !ownRead {
+		d.peerConfirmed.Store(max(d.peerConfirmed.Load(), offset))
+	}
 	if version <= d.version.Load() && d.version.Load() > 0 && offset > d.confirmed.Load() {
 		d.confirmed.Store(offset)
 	}
@@ -269,7 +274,7 @@
 		d.mu.Unlock()
 		if err == nil && reply.Version > 0 {
 			r.adopt(d, reply.Version, reply.Value)
-			r.confirm(d, version, confirmed)
+			r.confirm(d, version, confirmed, false)
 		}
 	})
 }
@@ -317,12 +322,14 @@
 	}
 }
 
-// poll reads a source at each interval while this node is a watcher or its confirmation is old.
+// poll reads a source at each interval while this node is a watcher or the newest confirmation from a peer is old. It
+// does not wait for its own confirmation to age, as a slow read would come too late then.
 func (r *Relay) poll(ctx context.Context, d *document, read func(context.Context) error) {
 	ticker := time.NewTicker(PollInterval)
 	defer ticker.Stop()
 	for {
-		if r.watching.Load() || time.Since(r.confirmedAt(d)) > fallbackAge {
+		peer := d.peerConfirmed.Load()
+		if r.watching.Load() || peer == 0 || time.Since(r.base.Add(time.Duration(peer))) > fallbackAge {
 			r.work.Go(func() { r.readOnce(ctx, d, read) })
 		}
 		select {
@@ -373,7 +380,7 @@
 		return nil
 	}
 	if r.config.holds(entry.Value) {
-		r.confirm(r.config, r.config.version.Load(), began)
+		r.confirm(r.config, r.config.version.Load(), began, true)
 		return nil
 	}
 	version, _, err := parseConfig(entry.Value)
@@ -385,7 +392,7 @@
 		return err
 	}
 	if version == r.config.version.Load() {
-		r.confirm(r.config, version, began)
+		r.confirm(r.config, version, began, true)
 	}
 	return nil
 }
@@ -406,7 +413,7 @@
 		}
 	}
 	if fleet.Revision == r.fleet.version.Load() {
-		r.confirm(r.fleet, fleet.Revision, began)
+		r.confirm(r.fleet, fleet.Revision, began, true)
 	}
 	return nil
 }
