Acquire leases under joint majorities without waiting; wait for the service's own leaf timeout

Cause: after each change of the member set nobody acquired a service for 4.2 s, and a new owner waited for the longest leaf timeout of any profile. With a paused owner in a zone that goes out, the service was without an answer for 6.3 s. Before: every change of the member set delayed acquisitions by 4.2 s, the wait for calls of a predecessor was 2.25 s. After: an owner needs majorities of the new and of each replaced set that may be in force, so only a node that may have missed a set waits; the wait is the service's longest leaf timeout plus 250 ms (0.45 s at 200 ms), counting timeouts replaced within 6.25 s. Conclusion: the wait was not needed for safety once replaced sets count.

--- a/internal/member/heartbeat.go
+++ b/internal/member/heartbeat.go
@@ -209,7 +209,7 @@
 	doc, fleet := n.relay.Current(), n.relay.Fleet()
 	now, old := n.now(), n.view.Load()
 	if doc != nil && doc.Version > old.configVersion || fleet != nil && fleet.Revision > old.fleetRevision {
-		next := newView(doc, fleet)
+		next := newView(doc, fleet, old, now)
 		if fleet != nil {
 			n.ledger.setMembers(now, next.set, n.CheckFresh() == nil)
 		}
--- a/internal/member/leases.go
+++ b/internal/member/leases.go
@@ -17,9 +17,10 @@
 	leaseMargin = 200 * time.Millisecond
 	// FreshLimit is the age up to which a confirmation of the documents counts.
 	FreshLimit = 2 * time.Second
-	// settleTime is the time after a change of the member set, or the start, in which a peer acknowledges no new
-	// claimant and a claimant acquires nothing: after FreshLimit every fresh peer knows the new set, after LeaseTime
-	// every acknowledgement given under the old one has expired.
+	// settleTime is the time for which a replaced member set stays in force: after FreshLimit every fresh peer knows the
+	// new set, after LeaseTime every acknowledgement given under the old one has expired. A node that does not know the
+	// sets before its own, after its start or a time without news, acknowledges no new claimant and acquires nothing for
+	// that long.
 	settleTime = FreshLimit + LeaseTime + leaseMargin
 )
 
@@ -108,9 +109,8 @@
 type ledger struct {
 	self identity
 
-	mu    sync.Mutex
-	set   memberSet
-	setAt instant // when set came into force here; the first set counts as a change
+	mu  sync.Mutex
+	set memberSet
 	// unsettled is the last time that the member set was changed by a node that was not fresh, or first set.
 	unsettled instant
 	hasSet    bool
@@ -153,7 +153,7 @@
 		g.unsettled = now
 		g.eachLease(func(_ string, l *lease) { l.ownedUntil.Store(0) })
 	}
-	g.set, g.setAt, g.hasSet = set, now, true
+	g.set, g.hasSet = set, true
 	g.eachLease(func(_ string, l *lease) { g.recompute(now, l) })
 }
 
@@ -164,8 +164,8 @@
 	})
 }
 
-// settled reports whether settleTime has passed since the node changed its member set or started.
-func (g *ledger) settled(now instant) bool { return g.hasSet && now >= g.setAt+settleTime }
+// settled reports whether the node knows every member set that may be in force.
+func (g *ledger) settled(now instant) bool { return g.hasSet && now >= g.unsettled+settleTime }
 
 // claim begins a heartbeat at now, its time of sending: the node acknowledges its own claims. The releases to be told
 // must be read after it.
@@ -214,9 +214,9 @@
 	g.past = slices.DeleteFunc(g.past, func(p pastSet) bool { return now >= p.until })
 	floor := l.notBefore
 	owned := now < instant(l.ownedUntil.Load())
-	inherits := now < l.inheritedUntil && now >= g.unsettled+settleTime
+	inherits := now < l.inheritedUntil && g.settled(now)
 	if !owned && !inherits {
-		floor = max(floor, g.setAt+settleTime)
+		floor = max(floor, g.unsettled+settleTime)
 	}
 	reached := g.set.reached(l.agreed, floor)
 	for _, p := range g.past {
@@ -360,7 +360,7 @@
 func (g *ledger) steady(now instant) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.hasSet && now >= g.unsettled+settleTime
+	return g.settled(now)
 }
 
 // memberHash returns the hash of the member set in force.
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -8,9 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"cyclamenstream/api/backend"
 	"cyclamenstream/api/cluster"
-	"cyclamenstream/api/config"
 	"cyclamenstream/api/event"
 	"cyclamenstream/api/platform"
 	"cyclamenstream/api/verdict"
@@ -35,8 +33,6 @@
 	shutdownStep = 50 * time.Millisecond
 	// rebalanceAfter is how long a higher-ranked member must be alive and ready before it is given a service.
 	rebalanceAfter = 5 * time.Second
-	// takeoverWait covers the calls that the predecessor has sent: the longest leaf timeout and the end grace.
-	takeoverWait = config.MaxLeafTimeout + backend.EndGrace
 	// watchers is the number of members that watch the store and the list of VMs.
 	watchers = 3
 )
@@ -140,7 +136,7 @@
 		handovers: scope.Counter("handovers"), handoverErrors: scope.Counter("handover_errors"),
 		leasesLost: scope.Counter("leases_lost"),
 	}
-	n.view.Store(newView(nil, nil))
+	n.view.Store(newView(nil, nil, nil, 0))
 	n.basis.Store(&[2]instant{-2 * FreshLimit, -2 * FreshLimit})
 	n.hints.Store(&map[string]platform.VM{})
 	for i := range n.excuses {
--- a/internal/member/owner.go
+++ b/internal/member/owner.go
@@ -99,7 +99,7 @@
 		if _, known := n.owned[service]; known {
 			continue
 		}
-		o := ownedService{cluster.OwnedService{Service: service, UsableFrom: time.Now().Add(takeoverWait)}, t.term}
+		o := ownedService{cluster.OwnedService{Service: service, UsableFrom: time.Now().Add(n.view.Load().drainOf(service, now))}, t.term}
 		detail := "without a handover"
 		if h := n.inherited[service]; h != nil && t.inherited {
 			o.Handover, o.UsableFrom, detail = h, time.Now(), "with a handover"
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"cyclamenstream/api/config"
 	"cyclamenstream/api/platform"
@@ -18,12 +19,13 @@
 	allowed  map[string]platform.VM // backend servers that may get work
 	leaves   map[string][]platform.VM
 	services []string // in order of name
+	drains   map[string]drain
 
 	configVersion, fleetRevision uint64
 }
 
-// newView combines the two documents; either may be nil.
-func newView(doc *config.Document, fleet *platform.Fleet) *view {
+// newView combines the two documents at the given instant; either may be nil. replaced is the view before it, or nil.
+func newView(doc *config.Document, fleet *platform.Fleet, replaced *view, now instant) *view {
 	v := &view{nodes: map[string]platform.VM{}, allowed: map[string]platform.VM{}, leaves: map[string][]platform.VM{}}
 	if doc == nil {
 		doc = &config.Document{}
@@ -36,6 +38,11 @@
 		v.services = append(v.services, name)
 	}
 	slices.Sort(v.services)
+	if replaced != nil && replaced.configVersion == doc.Version {
+		v.drains = replaced.drains
+	} else if replaced != nil {
+		v.drains = drains(doc, replaced.drains, now)
+	}
 	for _, vm := range fleet.VMs {
 		out := doc.ZoneOut(vm.Zone) || doc.VMOut(vm.ID)
 		switch {
@@ -58,6 +65,14 @@
 	return v
 }
 
+// drainOf returns how long an owner without a handover waits before it uses the service's slots.
+func (v *view) drainOf(service string, now instant) time.Duration {
+	if d, known := v.drains[service]; known {
+		return d.at(now)
+	}
+	return maxDrain
+}
+
 func (v *view) isMember(vm string) bool {
 	_, found := slices.BinarySearch(v.set.vms, vm)
 	return found
