--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -10,8 +10,8 @@
 	"testing/synctest"
 	"time"
 
-	"cyclamenstream/api/cluster"
 	"cyclamenstream/api/backend"
+	"cyclamenstream/api/cluster"
 	"cyclamenstream/api/config"
 	"cyclamenstream/api/event"
 	"cyclamenstream/api/platform"
