Ask the peers before a started node takes the store's configuration

Cause: a restarted node read the store, which had come back with an older value, before it heard its peers, and served under version 14 although version 17 had been accepted. Before: the process test of the configuration saw a node go from 17 to 14. After: a node without a configuration takes the store's only once every listed node has answered or failed to, and none holds a newer one, at most 3 s. The relay's test fails without the wait.

--- a/internal/member/heartbeat.go
+++ b/internal/member/heartbeat.go
@@ -17,6 +17,7 @@
 // closed when all have answered or failed.
 func (n *Node) round(ctx context.Context) <-chan string {
 	request, sent, members := n.buildPing()
+	listed := n.view.Load().fleetRevision > 0
 	answered := make(chan string, len(members))
 	done := make(chan struct{}, len(members))
 	for _, vm := range members {
@@ -38,6 +39,9 @@
 		for range members {
 			<-done
 		}
+		if listed {
+			n.relay.PeersAsked()
+		}
 		close(answered)
 	})
 	return answered
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -35,6 +35,9 @@
 	fallbackAge = time.Second
 	// fetchTimeout bounds the call that fetches a document from a peer.
 	fetchTimeout = 2 * time.Second
+	// peersWait bounds the time in which a node that holds no configuration waits for its peers' before it takes the
+	// store's: three failed heartbeats of 1 s.
+	peersWait = 3 * time.Second
 	// watchRetry is the pause after a failed watch.
 	watchRetry = 200 * time.Millisecond
 )
@@ -72,6 +75,7 @@
 	config, fleet *document
 	watching      atomic.Bool
 	storeUp       atomic.Bool
+	peersAsked    atomic.Bool
 	storeVersion  atomic.Uint64 // version of the configuration's key in the latest read
 
 	mu      sync.Mutex
@@ -391,6 +395,9 @@
 		r.corrupt.Inc(1)
 		return err
 	}
+	if r.awaitsPeers(version) {
+		return nil
+	}
 	if err := r.adopt(r.config, version, entry.Value); err != nil {
 		return err
 	}
@@ -400,6 +407,18 @@
 	return nil
 }
 
+// PeersAsked tells that every listed node has answered or failed to answer which documents it holds.
+func (r *Relay) PeersAsked() { r.peersAsked.Store(true) }
+
+// awaitsPeers reports whether a node that has just started must not take this version from the store yet: the store may
+// have come back from an older state, while the peers hold what was accepted.
+func (r *Relay) awaitsPeers(version uint64) bool {
+	if r.config.version.Load() > 0 || time.Since(r.base) > peersWait {
+		return false
+	}
+	return !r.peersAsked.Load() || r.Announced() > version
+}
+
 func (r *Relay) readFleet(ctx context.Context) error {
 	began := time.Now()
 	fleet, err := r.inventory.List(ctx)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -156,6 +156,7 @@
 		r := New(s, s, s, event.Discard{}, tally.NoopScope)
 		ctx, cancel := context.WithCancel(t.Context())
 		r.Start(ctx)
+		r.PeersAsked()
 		time.Sleep(2 * time.Second)
 		for range 100 {
 			time.Sleep(100 * time.Millisecond)
@@ -183,3 +184,35 @@
 		r.Wait()
 	})
 }
+
+// Guards against a restarted node that takes an older configuration from a store that has lost writes, although its
+// peers hold the accepted one, and against one that waits for dead peers for ever.
+func TestStartTakesTheHighestVersion(t *testing.T) {
+	tests := []struct {
+		name  string
+		peers func(r *Relay)
+		want  uint64
+		limit time.Duration
+	}{
+		{"peer holds a newer one", func(r *Relay) { r.Heard(platform.VM{}, time.Now(), heard(7, 0)); r.PeersAsked() }, 7, 100 * time.Millisecond},
+		{"peers hold none", func(r *Relay) { r.PeersAsked() }, 3, 2 * PollInterval},
+		{"no word from the peers", func(*Relay) {}, 3, peersWait + PollInterval},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &source{value: stored(3), fleet: platform.Fleet{Revision: 1}, peer: &peerpb.GetDocumentReply{Version: 7, Value: stored(7)}}
+				r := New(s, s, s, event.Discard{}, tally.NoopScope)
+				ctx, cancel := context.WithCancel(t.Context())
+				r.Start(ctx)
+				time.Sleep(50 * time.Millisecond)
+				qt.Check(t, r.Current(), qt.IsNil)
+				test.peers(r)
+				time.Sleep(test.limit)
+				qt.Check(t, r.Current().Version, qt.Equals, test.want)
+				cancel()
+				r.Wait()
+			})
+		})
+	}
+}
