--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -157,6 +157,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		r.Start(ctx)
 		r.PeersAsked()
+		r.PeersAsked()
 		time.Sleep(2 * time.Second)
 		for range 100 {
 			time.Sleep(100 * time.Millisecond)
