--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -133,6 +133,7 @@
 				r := New(s, s, s, event.Discard{}, tally.NoopScope)
 				ctx, cancel := context.WithCancel(t.Context())
 				r.ctx = ctx
+				r.PeersAsked()
 				began := time.Now()
 				qt.Assert(t, r.readConfig(ctx), qt.IsNil)
 				time.Sleep(time.Second)
