--- /dev/null
+++ b/internal/leafset/fake_test.go
@@ -0,0 +1,341 @@
+package leafset
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+
+	"cyclamenstream/api/backend"
+	"cyclamenstream/api/cluster"
+	"cyclamenstream/api/config"
+	"cyclamenstream/api/event"
+	"cyclamenstream/api/leaf"
+	"cyclamenstream/api/platform"
+	"cyclamenstream/api/verdict"
+)
+
+const (
+	oneWay    = 2 * time.Millisecond
+	serveTime = 10 * time.Millisecond
+	// stepAnswers is the number of answers after which a ramping leaf may get one more call.
+	stepAnswers = 8
+)
+
+// fakeLeaf is a leaf that notes every call beyond what its ramp allows, counted from its own answers.
+type fakeLeaf struct {
+	vm platform.VM
+
+	mu        sync.Mutex
+	boot      int
+	running   map[*fakeCall]bool
+	sessions  []*fakeSession
+	answers   int       // since the last session or boot identifier
+	unknownTo time.Time // until then the owner may not know of the present boot identifier
+	draining  bool
+	gone      bool          // has dropped the snapshot of its last status
+	stopTime  time.Duration // between a cancellation and the end of the call
+	work      time.Duration // of one call
+	sendDelay time.Duration // between the session's Do and the send; set before the first call
+	seen      counts
+}
+
+type counts struct {
+	dials, arrived, most int
+	overload             []string
+}
+
+type fakeCall struct {
+	id   string
+	stop chan struct{}
+}
+
+func (l *fakeLeaf) change(f func(*fakeLeaf)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f(l)
+}
+
+func (l *fakeLeaf) limit() int     { return min(3, 1+l.answers/stepAnswers) }
+func (l *fakeLeaf) bootID() string { return fmt.Sprint(l.vm.ID, "/", l.boot) }
+
+func (l *fakeLeaf) arrive(c *fakeCall) (work, stopTime time.Duration, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.seen.arrived++
+	if l.gone {
+		return 0, 0, false
+	}
+	l.running[c] = true
+	l.seen.most = max(l.seen.most, len(l.running))
+	if n := len(l.running); n > l.limit() && time.Now().After(l.unknownTo) {
+		l.seen.overload = append(l.seen.overload, fmt.Sprintf("%s runs %d at limit %d", c.id, n, l.limit()))
+	}
+	return l.work, l.stopTime, true
+}
+
+// turnCold changes the boot identifier while sessions and calls go on.
+func (l *fakeLeaf) turnCold() {
+	l.change(func(l *fakeLeaf) { l.boot, l.answers, l.unknownTo = l.boot+1, 0, time.Now().Add(serveTime+2*oneWay) })
+}
+
+// drop ends all sessions. A restart also ends all calls and changes the boot identifier.
+func (l *fakeLeaf) drop(restart bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if restart {
+		l.boot++
+		l.running = map[*fakeCall]bool{}
+	}
+	for _, s := range l.sessions {
+		_ = s.Close()
+	}
+	l.sessions = nil
+}
+
+func (l *fakeLeaf) counts() (c counts) {
+	l.change(func(l *fakeLeaf) { c = l.seen })
+	return c
+}
+
+type fakeSession struct {
+	leaf *fakeLeaf
+	done chan struct{}
+	once sync.Once
+}
+
+func (s *fakeSession) Done() <-chan struct{} { return s.done }
+func (s *fakeSession) Close() error          { s.once.Do(func() { close(s.done) }); return nil }
+
+func (s *fakeSession) Status(ctx context.Context) (backend.Status, error) {
+	time.Sleep(2 * oneWay)
+	info := backend.SnapshotInfo{ID: "s1", Sequence: 1, ShardCount: 1, Shards: []uint32{0}}
+	var status backend.Status
+	s.leaf.change(func(l *fakeLeaf) {
+		if l.gone {
+			info.ID = "s2"
+		}
+		status = backend.Status{BootID: l.bootID(), Draining: l.draining, Snapshots: []backend.SnapshotInfo{info}}
+	})
+	return status, ctx.Err()
+}
+
+func (s *fakeSession) Do(ctx context.Context, call backend.Call) (backend.Reply, error) {
+	select {
+	case <-s.done: // nothing is sent
+		return backend.Reply{}, backend.ErrSessionLost
+	default:
+	}
+	time.Sleep(s.leaf.sendDelay)
+	call.Attempt.Begin()
+	c := &fakeCall{id: call.ID, stop: make(chan struct{})}
+	ended := make(chan error, 1)
+	go s.run(c, call, ended)
+	cancelled := ctx.Done()
+	for {
+		select {
+		case <-s.done:
+			return backend.Reply{}, backend.ErrSessionLost
+		case <-cancelled:
+			cancelled = nil
+			time.AfterFunc(oneWay, func() { close(c.stop) })
+		case err := <-ended:
+			if errors.Is(err, backend.ErrSnapshotGone) {
+				call.Attempt.Refused()
+			}
+			if err != nil {
+				return backend.Reply{}, err
+			}
+			call.Attempt.Answered()
+			reply := backend.Reply{ID: call.ID, Snapshot: call.Snapshot, Shard: call.Shard}
+			s.leaf.change(func(l *fakeLeaf) { reply.BootID = l.bootID() })
+			return reply, nil
+		}
+	}
+}
+
+// run is the leaf's part of a call; it goes on when the session is lost.
+func (s *fakeSession) run(c *fakeCall, call backend.Call, ended chan<- error) {
+	time.Sleep(oneWay)
+	work, stopTime, ok := s.leaf.arrive(c)
+	if !ok {
+		time.Sleep(oneWay)
+		ended <- backend.ErrSnapshotGone
+		return
+	}
+	var err error
+	select {
+	case <-time.After(work):
+	case <-time.After(call.Timeout):
+		err = backend.ErrStopped
+	case <-c.stop:
+		time.Sleep(stopTime)
+		err = backend.ErrStopped
+	}
+	s.leaf.change(func(l *fakeLeaf) {
+		if l.running[c] { // else the process that ran it is gone
+			delete(l.running, c)
+			l.answers++
+		}
+	})
+	time.Sleep(oneWay)
+	ended <- err
+}
+
+// world is the surroundings of a Set: leaves, membership, ownership and configuration.
+type world struct {
+	t      *testing.T
+	leaves []*fakeLeaf
+	set    *Set
+
+	mu       sync.Mutex
+	owned    []cluster.OwnedService
+	out      map[string]bool
+	stale    bool
+	changed  chan struct{}
+	document *config.Document
+}
+
+func newWorld(t *testing.T, leaves int) *world {
+	w := &world{
+		t: t, out: map[string]bool{}, changed: make(chan struct{}),
+		owned:    []cluster.OwnedService{{Service: "svc"}},
+		document: &config.Document{Services: map[string]config.Service{"svc": {Slots: 3, ColdSlots: 1, Connections: 30}}},
+	}
+	for i := range leaves {
+		id := fmt.Sprint("leaf", i)
+		vm := platform.VM{ID: id, Address: id, Service: "svc"}
+		w.leaves = append(w.leaves, &fakeLeaf{vm: vm, running: map[*fakeCall]bool{}, work: serveTime})
+	}
+	w.set = New(Deps{Dialer: w, Membership: w, Ownership: w, Config: w, Recorder: event.Discard{}, Scope: tally.NoopScope})
+	qt.Assert(t, w.set.Start(t.Context()), qt.IsNil)
+	t.Cleanup(w.stop)
+	return w
+}
+
+// quietly applies a change to the surroundings that is not announced.
+func (w *world) quietly(f func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f()
+}
+
+// change applies a change to the surroundings and announces it.
+func (w *world) change(f func()) {
+	w.quietly(func() {
+		f()
+		close(w.changed)
+		w.changed = make(chan struct{})
+	})
+}
+
+func (w *world) Changed() (c <-chan struct{}) {
+	w.quietly(func() { c = w.changed })
+	return c
+}
+
+func (w *world) Dial(_ context.Context, address string) (backend.Session, error) {
+	time.Sleep(2 * oneWay)
+	l := w.leaves[slices.IndexFunc(w.leaves, func(l *fakeLeaf) bool { return l.vm.Address == address })]
+	s := &fakeSession{leaf: l, done: make(chan struct{})}
+	l.change(func(l *fakeLeaf) { l.sessions, l.seen.dials, l.answers = append(l.sessions, s), l.seen.dials+1, 0 })
+	return s, nil
+}
+
+func (w *world) Self() platform.VM         { return platform.VM{ID: "node", Zone: "z1"} }
+func (w *world) Members() []cluster.Member { return nil }
+
+func (w *world) Leaves(string) (vms []platform.VM) {
+	w.quietly(func() {
+		for _, l := range w.leaves {
+			if !w.out[l.vm.ID] {
+				vms = append(vms, l.vm)
+			}
+		}
+	})
+	return vms
+}
+
+func (w *world) refuse(code verdict.Code, when func() bool) (err error) {
+	w.quietly(func() {
+		if when() {
+			err = verdict.Refusef(code, "refused")
+		}
+	})
+	return err
+}
+
+func (w *world) CheckFresh() error {
+	return w.refuse(verdict.CodeStale, func() bool { return w.stale })
+}
+
+func (w *world) LeafAllowed(vm platform.VM) bool {
+	return w.refuse(verdict.CodeOut, func() bool { return w.out[vm.ID] }) == nil
+}
+
+func (w *world) Owner(string) (cluster.Owner, bool) { return cluster.Owner{}, false }
+
+func (w *world) CheckOwned(string) error {
+	return w.refuse(verdict.CodeNoOwner, func() bool { return len(w.owned) == 0 })
+}
+
+func (w *world) Owned() ([]cluster.OwnedService, <-chan struct{}) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.owned), w.changed
+}
+
+func (w *world) Current() *config.Document { return w.document }
+
+var lastID atomic.Int64
+
+func newCall(timeout time.Duration) backend.Call {
+	id := fmt.Sprint("call", lastID.Add(1))
+	return backend.Call{ID: id, Service: "svc", Snapshot: "s1", Timeout: timeout, Attempt: &verdict.Attempt{}}
+}
+
+func (w *world) mustAcquire() leaf.Slot {
+	slot, err := w.acquire(w.t.Context())
+	qt.Assert(w.t, err, qt.IsNil)
+	return slot
+}
+
+func (w *world) acquire(ctx context.Context) (leaf.Slot, error) {
+	return w.set.Acquire(ctx, leaf.Need{Service: "svc", Snapshot: "s1", Deadline: time.Now().Add(3 * time.Second)})
+}
+
+// load sends calls from n callers without a pause until stop is set. Calls are given up after the times in turn.
+func (w *world) load(n int, stop *atomic.Bool, giveUp [3]time.Duration) *sync.WaitGroup {
+	var callers sync.WaitGroup
+	for range n {
+		callers.Go(func() {
+			for i := 0; !stop.Load(); i++ {
+				w.call(giveUp[i%len(giveUp)])
+			}
+		})
+	}
+	return &callers
+}
+
+func (w *world) call(giveUp time.Duration) {
+	slot, err := w.acquire(context.Background())
+	if err != nil {
+		time.Sleep(10 * time.Millisecond)
+		return
+	}
+	ctx, stop := context.WithTimeout(context.Background(), cmp.Or(giveUp, time.Hour))
+	defer stop()
+	if _, err := slot.Do(ctx, newCall(200*time.Millisecond)); err != nil && verdict.Of(err).IsNotRun() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (w *world) stop() { qt.Check(w.t, w.set.Stop(context.Background()), qt.IsNil) }
