Suspect a request as soon as its leaf's session is lost

Cause: a crash was blamed only when the leaf was back with another boot identifier, at least 200 ms later. Until then the retry of the request ran beside others on the next leaf, and its resends went to the remaining ones.

Now fanout reports a lost session to the quarantine when the call ends, so that the retry runs alone. A second loss while it ran alone refuses the request provisionally for 8 s; the owner renews that refusal at its peers with each heartbeat. A returned leaf with another boot identifier confirms the crash, the same one lifts the suspicion; leafset reports both. A request that is cleared by its run alone is not blamed by a crash that is reported later.

The new scripts fail without the report of losses, and TestRun without its call in fanout.

Conclusion: at most two leaves are lost to a request whose first sends go to one leaf. A query over many shards can reach more with its first sends.

--- a/api/leaf/leaf.go
+++ b/api/leaf/leaf.go
@@ -56,12 +56,14 @@
 	Release()
 }
 
-// Crash reports that a leaf's session was lost and that it came back with another boot identifier.
+// Crash reports that a leaf's session was lost and that the leaf is back.
 type Crash struct {
 	Service string
 	VM      string
 	// Running lists the identifiers of the calls that were under way.
 	Running []string
+	// SameBoot says that the leaf came back with the same boot identifier: it did not crash, only its session was lost.
+	SameBoot bool
 }
 
 // Pool gives out the slots of the owned services' leaves. Implementations are safe for concurrent use.
@@ -70,6 +72,7 @@
 	Snapshots(service string) []Snapshot
 	// Acquire waits for a slot on a leaf that holds the shard at the snapshot. Its errors have verdict "not run".
 	Acquire(ctx context.Context, need Need) (Slot, error)
-	// Crashes returns the channel on which lost leaves are reported. It is bounded; a full channel drops the oldest.
+	// Crashes returns the channel on which leaves are reported that were lost and are back: those with another boot
+	// identifier, and those with the same one if calls were under way. It is bounded; a full channel drops the oldest.
 	Crashes() <-chan Crash
 }
--- a/internal/fanout/fanout_test.go
+++ b/internal/fanout/fanout_test.go
@@ -66,6 +66,8 @@
 	intents   []string
 	beginErr  error
 	alone     bool // the request is a suspect
+	// lost and reported are the leaves whose session was lost under a call, and those that Lost was told of.
+	lost, reported []string
 }
 
 func (p *pool) Snapshots(string) []leaf.Snapshot {
@@ -82,6 +84,12 @@
 
 func (p *pool) Enter(_ context.Context, _, _, _ string, _ uint32) (bool, error) { return p.alone, nil }
 
+func (p *pool) Lost(_, vm string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reported = append(p.reported, vm)
+}
+
 func (p *pool) Begin(context.Context, string, string, string) (intent.Intent, error) {
 	p.intents = append(p.intents, "begin")
 	return p, p.beginErr
@@ -148,6 +156,9 @@
 		if errors.Is(a.err, backend.ErrRefused) || errors.Is(a.err, backend.ErrSnapshotGone) {
 			c.Attempt.Refused()
 		}
+		if errors.Is(a.err, backend.ErrSessionLost) {
+			s.lost = append(s.lost, s.vm)
+		}
 		s.ran = s.ran || !c.Attempt.Verdict().IsNotRun()
 		return backend.Reply{}, verdict.Failf(c.Attempt, codes[a.err], a.err, "failed")
 	}
@@ -337,6 +348,7 @@
 				if strings.Contains(test.name, "loser") {
 					qt.Check(t, p.stopped.Sub(began), qt.Equals, 10*ms)
 				}
+				qt.Check(t, p.reported, qt.DeepEquals, p.lost) // or a request that crashes leaves is not suspected in time
 				got := fmt.Sprint(answer.Snapshot, " ", answer.Coverage.Percent(), " ", answer.Verdict)
 				if err != nil {
 					got = fmt.Sprint(verdict.CodeOf(err), " ", verdict.Of(err))
--- a/internal/fanout/shard.go
+++ b/internal/fanout/shard.go
@@ -182,7 +182,12 @@
 	if err != nil {
 		return unsent(err)
 	}
-	defer func() { a.Guard.Leave(id, u.err == nil) }()
+	defer func() {
+		if u.sent && verdict.CodeOf(u.err) == verdict.CodeSessionLost {
+			a.Guard.Lost(id, u.vm) // before Leave, so that a retry is told to run alone
+		}
+		a.Guard.Leave(id, u.err == nil)
+	}()
 	if alone && k == hedge {
 		return unsent(errNotHedged)
 	}
--- a/internal/leafset/leafset.go
+++ b/internal/leafset/leafset.go
@@ -210,7 +210,11 @@
 func (s *Set) Crashes() <-chan leaf.Crash { return s.crashes }
 
 func (s *Set) reportCrash(crash leaf.Crash) {
-	s.counts.crashes.Inc(1)
+	if !crash.SameBoot {
+		s.counts.crashes.Inc(1)
+	} else if len(crash.Running) == 0 {
+		return
+	}
 	s.crashMu.Lock()
 	defer s.crashMu.Unlock()
 	for {
--- a/internal/leafset/leafset_test.go
+++ b/internal/leafset/leafset_test.go
@@ -11,6 +11,7 @@
 
 	"cyclamenstream/api/backend"
 	"cyclamenstream/api/cluster"
+	"cyclamenstream/api/leaf"
 	"cyclamenstream/api/verdict"
 )
 
@@ -177,7 +178,8 @@
 	})
 }
 
-// Guards against a handover that loses the limits or the calls under way, and a crash that is reported without them.
+// Guards against a handover that loses the limits or the calls under way, and a crash or a lost connection that is
+// reported without them or as the other.
 func TestHandoverAndCrash(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
@@ -208,17 +210,19 @@
 		time.Sleep(100 * time.Millisecond)
 		inUse, limit := next.set.find("svc").slots.LeafStats("leaf0")
 		c.Assert([]int{inUse, limit}, qt.DeepEquals, []int{1, 3})
-		slot = next.mustAcquire()
-		call = newCall(500 * time.Millisecond)
-		lost := make(chan error, 1)
-		go func() { _, err := slot.Do(context.Background(), call); lost <- err }()
-		time.Sleep(10 * time.Millisecond)
-		l.drop(true)
-		err := <-lost
-		c.Assert(verdict.CodeOf(err), qt.Equals, verdict.CodeSessionLost)
-		c.Assert(verdict.Of(err), qt.Equals, verdict.MayHaveRun())
-		crash := <-next.set.Crashes()
-		c.Assert(crash.Running, qt.DeepEquals, []string{call.ID})
+		for _, restart := range []bool{false, true} {
+			slot = next.mustAcquire()
+			call = newCall(500 * time.Millisecond)
+			lost := make(chan error, 1)
+			go func() { _, err := slot.Do(context.Background(), call); lost <- err }()
+			time.Sleep(10 * time.Millisecond)
+			l.drop(restart)
+			err := <-lost
+			c.Assert(verdict.CodeOf(err), qt.Equals, verdict.CodeSessionLost)
+			c.Assert(verdict.Of(err), qt.Equals, verdict.MayHaveRun())
+			c.Assert(<-next.set.Crashes(), qt.DeepEquals, leaf.Crash{Service: "svc", VM: "leaf0", Running: []string{call.ID},
+				SameBoot: !restart})
+		}
 		time.Sleep(100 * time.Millisecond)
 		inUse, limit = next.set.find("svc").slots.LeafStats("leaf0")
 		c.Assert([]int{inUse, limit}, qt.DeepEquals, []int{0, 1})
--- a/internal/leafset/worker.go
+++ b/internal/leafset/worker.go
@@ -95,8 +95,9 @@
 // serve uses a session until it is lost or ctx ends; in the latter case it lets the calls end first.
 func (w *worker) serve(ctx context.Context, c *conn, status backend.Status) {
 	svc := w.service
-	if w.last != nil && w.last.bootID != c.bootID {
-		svc.set.reportCrash(leaf.Crash{Service: svc.name, VM: w.vm.ID, Running: w.last.calls()})
+	if w.last != nil {
+		svc.set.reportCrash(leaf.Crash{Service: svc.name, VM: w.vm.ID, Running: w.last.calls(),
+			SameBoot: w.last.bootID == c.bootID})
 	}
 	svc.record(event.LeafConnected, w.vm.ID, c.bootID)
 	svc.store(w.vm, &status)
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,8 +1,12 @@
 // Package quarantine finds requests that crash leaves and refuses them on all nodes for a while.
 //
-// A request is identified by the fingerprint of its service and payload. After one crash every request that was running
-// on the leaf is a suspect: it runs alone on a leaf, one call at a time, and is not hedged, until each shard that ran at
-// a crash has been answered so. At a further crash a suspect is quarantined if it ran alone or was the only suspect there.
+// A request is identified by the fingerprint of its service and payload. When a session is lost, every request that was
+// running on it is a suspect at once: it runs alone on a leaf, one call at a time, and is not hedged, until each shard
+// that ran at a loss has been answered so. A crash is certain only when the leaf is back with another boot identifier; the
+// same one shows that only the connection was cut, and ends the suspicion. At a further crash a suspect is quarantined if
+// it ran alone or was the only suspect there. Until the leaf is back, a suspect that ran alone at a further loss is
+// refused provisionally, so that it reaches no third leaf. A query over many shards may still reach several leaves with
+// its first sends, before the first loss is known.
 package quarantine
 
 import (
@@ -29,6 +33,11 @@
 	Period = 10 * time.Minute
 	// suspicion is the time after which a crash is forgotten.
 	suspicion = Period
+	// provisional is the time for which a suspect is refused without a confirmed second crash: a leaf restarts and is
+	// connected again within a few seconds.
+	provisional = 8 * time.Second
+	// provisionalCopy is how long a peer keeps a provisional refusal that is not renewed: four heartbeats.
+	provisionalCopy = time.Second
 	// leastRemaining is the shortest remaining time of an entry that is taken over from a peer. Without it, nodes whose
 	// copies expire at slightly different times would pass an entry on to each other for ever.
 	leastRemaining = 5 * time.Second
@@ -57,27 +66,31 @@
 	ended    []endedCall // calls without an answer, oldest first; their crash may still be reported
 }
 
+// entry is a refused request; with fewer crashes than fewestCrashes it is refused provisionally.
 type entry struct {
-	service string
-	crashes int
-	vms     []string
-	until   time.Time
-	lifted  uint64 // the version of the newest lift that was known at the crash
+	service  string
+	crashes  int
+	vms      []string
+	until    time.Time
+	lifted   uint64 // the version of the newest lift that was known at the crash
+	imported bool
 }
 
 type suspect struct {
-	crashes int
+	crashes int // confirmed
 	vms     []string
+	lost    map[string]struct{} // calls whose leaf is not back
 	until   time.Time
 	lifted  uint64
 	turn    chan struct{} // holds a token while a call of the suspect runs
-	// shards ran at a crash and were not answered since. A request may crash the leaves of one shard only, so that an
+	// shards ran at a loss or crash and were not answered since. A request may crash the leaves of one shard only, so that an
 	// answer of another shard clears nothing.
 	shards map[uint32]struct{}
 }
 
 type call struct {
 	fingerprint string
+	service     string
 	shard       uint32
 	alone       *suspect // whose turn the call holds
 	left        bool     // has ended without an answer
@@ -130,9 +143,12 @@
 	if e == nil || !l.valid(fingerprint, e.lifted, e.until) {
 		return nil
 	}
-	return verdict.Refusef(verdict.CodeQuarantined,
-		"requests with fingerprint %s to service %q have crashed %d backend servers and are refused until %s", fingerprint,
-		e.service, e.crashes, e.until.UTC().Format(time.RFC3339))
+	done := fmt.Sprintf("have crashed %d backend servers", e.crashes)
+	if e.crashes < fewestCrashes {
+		done = "are suspected of having crashed backend servers"
+	}
+	return verdict.Refusef(verdict.CodeQuarantined, "requests with fingerprint %s to service %q %s and are refused until %s",
+		fingerprint, e.service, done, e.until.UTC().Format(time.RFC3339))
 }
 
 // valid reports whether an entry or suspicion has neither expired nor been lifted since.
@@ -159,7 +175,7 @@
 		}
 		s := l.suspect(fingerprint)
 		if s == nil {
-			l.calls[callID] = &call{fingerprint: fingerprint, shard: shard}
+			l.calls[callID] = &call{fingerprint: fingerprint, service: service, shard: shard}
 			l.mu.Unlock()
 			return false, nil
 		}
@@ -172,7 +188,7 @@
 		}
 		l.mu.Lock()
 		if l.suspect(fingerprint) == s && l.check(fingerprint) == nil {
-			l.calls[callID] = &call{fingerprint: fingerprint, shard: shard, alone: s}
+			l.calls[callID] = &call{fingerprint: fingerprint, service: service, shard: shard, alone: s}
 			l.mu.Unlock()
 			return true, nil
 		}
@@ -205,7 +221,7 @@
 			delete(c.alone.shards, c.shard)
 		}
 		if len(c.alone.shards) == 0 && l.suspects[c.fingerprint] == c.alone {
-			delete(l.suspects, c.fingerprint)
+			l.acquit(c.fingerprint, c.alone)
 		}
 	}
 	if answered {
@@ -220,11 +236,71 @@
 	}
 }
 
+// acquit ends a suspicion. A crash that is reported later is not ascribed to the request any more.
+func (l *List) acquit(fingerprint string, s *suspect) {
+	delete(l.suspects, fingerprint)
+	for id := range s.lost {
+		delete(l.calls, id)
+	}
+}
+
+// Lost says that the session to the leaf vm was lost under a call that was sent. It is called before Leave. The request
+// is a suspect from now on; if it ran alone and a call was lost before, it is refused provisionally.
+func (l *List) Lost(callID, vm string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := l.calls[callID]
+	if c == nil || c.left {
+		return
+	}
+	s := l.implicate(c.fingerprint, leaf.Crash{Service: c.service, VM: vm})
+	s.shards[c.shard] = struct{}{}
+	s.lost[callID] = struct{}{}
+	if c.alone != s || s.crashes+len(s.lost) < fewestCrashes || l.check(c.fingerprint) != nil {
+		return
+	}
+	l.put(c.fingerprint, &entry{service: c.service, crashes: min(s.crashes, fewestCrashes-1), vms: s.vms,
+		until: time.Now().Add(provisional), lifted: s.lifted})
+	l.recorder.Record(event.Event{Kind: event.RequestQuarantine, VM: vm, Service: c.service,
+		Detail: c.fingerprint + " provisionally, until the leaf is back"})
+}
+
+// cut takes in that leaves are back which had not crashed: the calls that were lost with their sessions are no cause for
+// suspicion.
+func (l *List) cut(running []string) {
+	for _, id := range running {
+		c := l.calls[id]
+		if c == nil {
+			continue
+		}
+		s := l.suspects[c.fingerprint]
+		if s == nil {
+			continue
+		}
+		if _, lost := s.lost[id]; !lost {
+			continue
+		}
+		delete(s.lost, id)
+		delete(l.calls, id)
+		if e := l.entries[c.fingerprint]; e != nil && !e.imported && e.crashes < fewestCrashes &&
+			s.crashes+len(s.lost) < fewestCrashes {
+			delete(l.entries, c.fingerprint)
+		}
+		if s.crashes+len(s.lost) == 0 {
+			delete(l.suspects, c.fingerprint)
+		}
+	}
+}
+
 // Crashed takes in a crash: the requests that ran become suspects, and a suspect to which the crash can be ascribed is
 // quarantined.
 func (l *List) Crashed(c leaf.Crash) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if c.SameBoot {
+		l.cut(c.Running)
+		return
+	}
 	running := map[string][]uint32{} // shards by fingerprint
 	var known []string
 	for _, id := range c.Running {
@@ -232,13 +308,18 @@
 		if call == nil {
 			continue
 		}
-		if running[call.fingerprint] == nil && l.suspect(call.fingerprint) != nil {
+		s := l.suspect(call.fingerprint)
+		if running[call.fingerprint] == nil && s != nil && s.crashes > 0 {
 			known = append(known, call.fingerprint)
 		}
+		if s != nil {
+			delete(s.lost, id)
+		}
 		running[call.fingerprint] = append(running[call.fingerprint], call.shard)
 	}
 	for f, shards := range running {
-		s := l.blame(f, c)
+		s := l.implicate(f, c)
+		s.crashes++
 		for _, shard := range shards {
 			s.shards[shard] = struct{}{}
 		}
@@ -248,18 +329,17 @@
 	}
 }
 
-// blame counts a crash for a suspect.
-func (l *List) blame(fingerprint string, c leaf.Crash) *suspect {
-	s := l.suspects[fingerprint]
+// implicate makes a request a suspect, or prolongs the suspicion.
+func (l *List) implicate(fingerprint string, c leaf.Crash) *suspect {
+	s := l.suspect(fingerprint)
 	if s == nil {
 		if len(l.suspects) >= maxSuspects {
 			evictEarliest(l.suspects, func(s *suspect) time.Time { return s.until })
 		}
-		s = &suspect{turn: make(chan struct{}, 1), shards: map[uint32]struct{}{}}
+		s = &suspect{turn: make(chan struct{}, 1), lost: map[string]struct{}{}, shards: map[uint32]struct{}{}}
 		l.suspects[fingerprint] = s
 		l.recorder.Record(event.Event{Kind: event.RequestSuspected, VM: c.VM, Service: c.Service, Detail: fingerprint})
 	}
-	s.crashes++
 	s.vms = addVM(s.vms, c.VM)
 	s.until = time.Now().Add(suspicion)
 	s.lifted = l.liftOf(fingerprint)
@@ -274,7 +354,7 @@
 }
 
 func (l *List) quarantine(fingerprint, service string, s *suspect) {
-	delete(l.suspects, fingerprint)
+	l.acquit(fingerprint, s)
 	l.put(fingerprint, &entry{service: service, crashes: s.crashes, vms: s.vms, until: time.Now().Add(Period),
 		lifted: s.lifted})
 	l.recorder.Record(event.Event{Kind: event.RequestQuarantine, Service: service,
@@ -300,15 +380,23 @@
 	delete(items, victim)
 }
 
-// Export returns the refused requests to send to the peers.
+// Export returns the refused requests to send to the peers. Provisional refusals are exported only by the node that made
+// them and for a short time only, so that they end everywhere when they are lifted here.
 func (l *List) Export() []*peerpb.QuarantineEntry {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.sweep()
 	exported := make([]*peerpb.QuarantineEntry, 0, len(l.entries))
 	for f, e := range l.entries {
+		remaining := time.Until(e.until)
+		if e.crashes < fewestCrashes {
+			if e.imported {
+				continue
+			}
+			remaining = min(remaining, provisionalCopy)
+		}
 		exported = append(exported, &peerpb.QuarantineEntry{Fingerprint: f, Service: e.service,
-			Crashes: uint32(e.crashes), RemainingMs: time.Until(e.until).Milliseconds(), CrashedVms: e.vms,
+			Crashes: uint32(e.crashes), RemainingMs: remaining.Milliseconds(), CrashedVms: e.vms,
 			LiftedVersion: e.lifted})
 	}
 	return exported
@@ -335,8 +423,8 @@
 		remaining := min(time.Duration(p.GetRemainingMs())*time.Millisecond, Period)
 		e := &entry{service: p.GetService(), crashes: int(p.GetCrashes()), until: time.Now().Add(remaining),
 			vms:    slices.Clone(p.GetCrashedVms()[:min(len(p.GetCrashedVms()), maxCrashedVMs)]),
-			lifted: p.GetLiftedVersion()}
-		if remaining < leastRemaining || e.crashes < fewestCrashes || !l.valid(p.GetFingerprint(), e.lifted, e.until) {
+			lifted: p.GetLiftedVersion(), imported: true}
+		if remaining < leastRemaining && e.crashes >= fewestCrashes || !l.valid(p.GetFingerprint(), e.lifted, e.until) {
 			continue
 		}
 		if known := l.entries[p.GetFingerprint()]; known == nil || e.replaces(known) {
@@ -345,7 +433,8 @@
 	}
 }
 
-// replaces reports whether e is newer than known, or a copy of the same entry that expires earlier.
+// replaces reports whether e is newer than known, renews a provisional refusal, or is a copy of the same entry that
+// expires earlier.
 func (e *entry) replaces(known *entry) bool {
 	switch {
 	case time.Now().After(known.until):
@@ -354,6 +443,8 @@
 		return e.lifted > known.lifted
 	case e.crashes != known.crashes:
 		return e.crashes > known.crashes
+	case e.crashes < fewestCrashes:
+		return known.imported
 	}
 	return e.until.Before(known.until)
 }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -31,7 +31,8 @@
 
 // Guards against a request that goes on crashing leaves, and against blame on requests that only ran beside it. In the
 // scripts "p1" begins call 1 of the request with fingerprint p, "p1/7" for shard 7, "alone" and "refused" say what it must
-// be told; "ok" and "fail" end calls, "crash a" reports those that ran when leaf a crashed and ends them.
+// be told; "ok" and "fail" end calls, "lost a" ends them with the session to leaf a, "crash a" reports those that ran when
+// leaf a crashed and ends them, and "cut a" reports that leaf a is back and had not crashed.
 func TestBlame(t *testing.T) {
 	const twice = "p1; crash a p1; p2 alone; crash b p2; "
 	tests := []struct{ name, script string }{
@@ -51,6 +52,15 @@
 		{"unknown calls", "crash a x1; p1"},
 		{"suspicion ends", "p1; crash a p1; wait 10m; p2; crash b p2; p3 alone"},
 		{"quarantine ends", twice + "p3 refused; wait 9m59s; p4 refused; wait 1s; p5"},
+		{"second loss alone", "p1; q1; lost a p1 q1; p2 alone; lost b p2; p3 refused; q2 alone; ok q2; q3; crash b p2; " +
+			"p3 refused; crash a p1 q1; q4; wait 9m; p4 refused"},
+		{"confirmed in order", "p1; q1; lost a p1 q1; p2 alone; lost b p2; crash a p1 q1; q2 alone; fail q2; crash b p2; wait 9m; " +
+			"p3 refused; q3 alone"},
+		{"losses at once", "p1; p2; lost a p1; lost b p2; p3 alone"},
+		{"only the connections were cut", "p1; lost a p1; p2 alone; lost b p2; p3 refused; cut b p2; p4 alone; fail p4; " +
+			"cut a p1; p5"},
+		{"the leaf stays away", "p1; lost a p1; p2 alone; lost b p2; wait 7s; p3 refused; wait 1s; p4 alone; lost c p4; " +
+			"p5 refused"},
 		{"lifted, then counted anew", twice + "p3 refused; lift p; p4; crash c p4; p5 alone; crash d p5; p6 refused"},
 	}
 	for _, test := range tests {
@@ -61,8 +71,13 @@
 					switch words := strings.Fields(step); words[0] {
 					case "ok", "fail":
 						l.Leave(words[1], words[0] == "ok")
-					case "crash":
-						l.Crashed(leaf.Crash{Service: "s", VM: words[1], Running: words[2:]})
+					case "lost":
+						for _, id := range words[2:] {
+							l.Lost(id, words[1])
+							l.Leave(id, false)
+						}
+					case "crash", "cut":
+						l.Crashed(leaf.Crash{Service: "s", VM: words[1], Running: words[2:], SameBoot: words[0] == "cut"})
 						for _, id := range words[2:] {
 							l.Leave(id, false)
 						}
@@ -155,6 +170,19 @@
 				lists[0].Leave(vm, false)
 			}
 		}
+		for _, vm := range []string{"a", "b"} { // refused provisionally while the leaf is away
+			lists[0].Enter(t.Context(), "p", "s", vm, 0)
+			lists[0].Lost(vm, vm)
+			lists[0].Leave(vm, false)
+		}
+		for range 20 {
+			exchange(250 * time.Millisecond)
+			qt.Assert(t, refusing(), qt.Equals, 4)
+		}
+		lists[0].Crashed(leaf.Crash{Service: "s", Running: []string{"a", "b"}, SameBoot: true})
+		exchange(provisionalCopy + 100*time.Millisecond)
+		qt.Assert(t, refusing(), qt.Equals, 0)
+
 		crashTwice()
 		exchange(100 * time.Millisecond)
 		qt.Assert(t, refusing(), qt.Equals, 4)
