Give a silent leaf no new calls until it answers on a new session

Cause: a paused leaf runs no timers and reads no calls. After timeout plus grace the owner took the slots back and sent further calls on the same session; they waited in the leaf's socket and began together when it went on.

Now a call that ends without word after its time disconnects the leaf and closes the session. Dial makes sure that the leaf answers. The slots of the session's calls stay in use, since a leaf that goes on may read its old sockets after the new one and counts the timeouts from then: until timeout plus grace after the first answer on the new session, or until another boot identifier. They are dropped after an hour if the leaf does not come back. Calls that are cut by this carry the code of a deadline, so that they are not suspected of a crash.

The new tests fail without the disconnection (14 calls at once) and without the hold.

Conclusion: not covered is a pause during which the owner changes: the next owner gets timeout plus grace for these slots and cannot know when the leaf goes on.

--- a/internal/leafset/fake_test.go
+++ b/internal/leafset/fake_test.go
@@ -24,8 +24,9 @@
 )
 
 const (
-	oneWay    = 2 * time.Millisecond
-	serveTime = 10 * time.Millisecond
+	oneWay      = 2 * time.Millisecond
+	serveTime   = 10 * time.Millisecond
+	callTimeout = 200 * time.Millisecond
 	// stepAnswers is the number of answers after which a ramping leaf may get one more call.
 	stepAnswers = 8
 )
@@ -44,6 +45,7 @@
 	gone      bool          // has dropped the snapshot of its last status
 	stopTime  time.Duration // between a cancellation and the end of the call
 	work      time.Duration // of one call
+	paused    chan struct{} // closed at the end of a pause; nil without one
 	sendDelay time.Duration // between the session's Do and the send; set before the first call
 	seen      counts
 }
@@ -87,6 +89,27 @@
 	l.change(func(l *fakeLeaf) { l.boot, l.answers, l.unknownTo = l.boot+1, 0, time.Now().Add(serveTime+2*oneWay) })
 }
 
+// pause stops the leaf: what it is sent waits until it goes on, and its timers end no call before.
+func (l *fakeLeaf) pause(d time.Duration) {
+	l.change(func(l *fakeLeaf) { l.paused = make(chan struct{}) })
+	time.Sleep(d)
+	l.change(func(l *fakeLeaf) {
+		close(l.paused)
+		l.paused, l.unknownTo = nil, time.Now().Add(callTimeout+backend.EndGrace) // calls sent before come on top
+	})
+}
+
+func (l *fakeLeaf) awaitPause(ctx context.Context) {
+	var paused chan struct{}
+	l.change(func(l *fakeLeaf) { paused = l.paused })
+	if paused != nil {
+		select {
+		case <-paused:
+		case <-ctx.Done():
+		}
+	}
+}
+
 // drop ends all sessions. A restart also ends all calls and changes the boot identifier.
 func (l *fakeLeaf) drop(restart bool) {
 	l.mu.Lock()
@@ -117,6 +140,7 @@
 
 func (s *fakeSession) Status(ctx context.Context) (backend.Status, error) {
 	time.Sleep(2 * oneWay)
+	s.leaf.awaitPause(ctx)
 	info := backend.SnapshotInfo{ID: "s1", Sequence: 1, ShardCount: 1, Shards: []uint32{0}}
 	var status backend.Status
 	s.leaf.change(func(l *fakeLeaf) {
@@ -139,9 +163,11 @@
 	c := &fakeCall{id: call.ID, stop: make(chan struct{})}
 	ended := make(chan error, 1)
 	go s.run(c, call, ended)
-	cancelled := ctx.Done()
+	cancelled, silent := ctx.Done(), time.After(call.Timeout+backend.EndGrace)
 	for {
 		select {
+		case <-silent:
+			return backend.Reply{}, backend.ErrSessionLost
 		case <-s.done:
 			return backend.Reply{}, backend.ErrSessionLost
 		case <-cancelled:
@@ -165,6 +191,7 @@
 // run is the leaf's part of a call; it goes on when the session is lost.
 func (s *fakeSession) run(c *fakeCall, call backend.Call, ended chan<- error) {
 	time.Sleep(oneWay)
+	s.leaf.awaitPause(context.Background())
 	work, stopTime, ok := s.leaf.arrive(c)
 	if !ok {
 		time.Sleep(oneWay)
@@ -180,6 +207,7 @@
 		time.Sleep(stopTime)
 		err = backend.ErrStopped
 	}
+	s.leaf.awaitPause(context.Background())
 	s.leaf.change(func(l *fakeLeaf) {
 		if l.running[c] { // else the process that ran it is gone
 			delete(l.running, c)
@@ -333,7 +361,7 @@
 	}
 	ctx, stop := context.WithTimeout(context.Background(), cmp.Or(giveUp, time.Hour))
 	defer stop()
-	if _, err := slot.Do(ctx, newCall(200*time.Millisecond)); err != nil && verdict.Of(err).IsNotRun() {
+	if _, err := slot.Do(ctx, newCall(callTimeout)); err != nil && verdict.Of(err).IsNotRun() {
 		time.Sleep(time.Millisecond)
 	}
 }
--- a/internal/leafset/leafset_test.go
+++ b/internal/leafset/leafset_test.go
@@ -18,7 +18,7 @@
 var never [3]time.Duration
 
 // Guards against leaves that get more calls than their ramp allows when they turn cold or restart under full load, when
-// a session is lost while its calls go on, when ownership is lost and regained, and when hedges are cancelled. The
+// a session is lost while its calls go on, when a paused leaf goes on with what waits in its sockets, when ownership is lost and regained, and when hedges are cancelled. The
 // leaves count their own calls.
 func TestNoOverload(t *testing.T) {
 	tests := []struct {
@@ -39,6 +39,7 @@
 			time.Sleep(150 * time.Millisecond)
 			w.leaves[0].drop(false)
 		}},
+		{"paused", never, func(w *world) { w.leaves[0].pause(2 * time.Second) }},
 		{"ownership lost and regained", never, func(w *world) {
 			w.change(func() { w.owned = nil })
 			time.Sleep(5 * time.Millisecond)
--- a/internal/leafset/slot.go
+++ b/internal/leafset/slot.go
@@ -110,6 +110,9 @@
 		err = backend.ErrMismatch
 	}
 	outcome, code := classify(err, call.Attempt)
+	if outcome == slots.Lost && code == verdict.CodeSessionLost && s.conn.silenced(took >= call.Timeout) {
+		outcome, code = slots.Silent, verdict.CodeDeadline
+	}
 	if outcome == slots.Answered || errors.Is(err, backend.ErrStopped) && took > s.Latency95() {
 		s.service.latency.Record(took) // a stopped call would have taken at least as long
 	}
@@ -119,7 +122,10 @@
 		s.conn.askStatus()
 	}
 	s.grant.Finish(outcome, took, reply.BootID)
-	s.conn.end(call.ID, outcome == slots.Lost)
+	s.conn.end(call.ID, outcome == slots.Lost || outcome == slots.Silent)
+	if outcome == slots.Silent {
+		_ = s.conn.session.Close() // the worker notices and dials again
+	}
 	switch {
 	case errors.Is(err, backend.ErrMismatch): // the attempt may show the answer of another call
 		return backend.Reply{}, verdict.WithVerdict(verdict.MayHaveRun(), code, "call %q to %s: %v", call.ID, s.VM(), err)
@@ -136,7 +142,7 @@
 		counts.answers.Inc(1)
 	case slots.Refused:
 		counts.refused.Inc(1)
-	case slots.Lost:
+	case slots.Lost, slots.Silent:
 		counts.lost.Inc(1)
 	}
 	if errors.Is(err, backend.ErrMismatch) {
--- a/internal/leafset/worker.go
+++ b/internal/leafset/worker.go
@@ -156,6 +156,7 @@
 
 	mu      sync.Mutex
 	running map[string]bool // identifiers of the calls under way and of those lost with the session
+	silent  bool            // a call's time has passed without word from the leaf while the session stood
 	active  int
 	idle    chan struct{} // not nil once drained was called; closed when active is 0
 }
@@ -167,6 +168,19 @@
 	}
 }
 
+// silenced reports whether a call has ended because the leaf was silent and not because the session was lost. timedOut
+// says that the call's time has passed.
+func (c *conn) silenced(timedOut bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	select {
+	case <-c.session.Done():
+	default:
+		c.silent = c.silent || timedOut
+	}
+	return c.silent
+}
+
 func (c *conn) begin(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/slots/grant.go
+++ b/internal/slots/grant.go
@@ -27,8 +27,10 @@
 	alone   bool
 	index   int
 
-	state state
-	until time.Time // when the leaf has certainly stopped a sent call
+	state   state
+	timeout time.Duration
+	until   time.Time // when the leaf has certainly stopped a sent call
+	silent  bool      // the leaf was silent for too long; it may begin the call late, when it is back
 }
 
 // VM returns the leaf's VM.
@@ -51,7 +53,7 @@
 		}
 		return ErrRevoked
 	}
-	g.state, g.until = sent, now.Add(timeout+backend.EndGrace)
+	g.state, g.timeout, g.until = sent, timeout, now.Add(timeout+backend.EndGrace)
 	return nil
 }
 
@@ -70,8 +72,14 @@
 	Ended
 	// Lost says that nothing is known: the leaf may run the call until its timeout.
 	Lost
+	// Silent says that the call's time has passed without word from the leaf on a session that still stands. The leaf
+	// may be paused, with calls that it has not read yet, and must get no new ones on this session.
+	Silent
 )
 
+// silentHold bounds how long the slots of a silent leaf are kept that does not come back.
+const silentHold = time.Hour
+
 // Finish says how the call ended. Latency is used for Answered and Ended, the boot identifier that the leaf has shown
 // for Answered. Finish does nothing when the slot is no longer in use.
 func (g *Grant) Finish(outcome Outcome, latency time.Duration, bootID string) {
@@ -81,6 +89,10 @@
 	if g.state != granted && g.state != sent {
 		return
 	}
+	if outcome == Silent && g.state == sent {
+		s.silence(l, g.conn, now)
+		return
+	}
 	if outcome == Lost && g.state == sent && now.Before(g.until) {
 		s.hold(g, g.until)
 		return
@@ -113,6 +125,35 @@
 	}
 }
 
+// silence disconnects a leaf from a session on which it was silent for too long. Its slots stay in use: a paused leaf
+// begins the calls that wait in its socket when it goes on, and their timeouts count from then.
+func (s *Service) silence(l *leafState, conn any, now time.Time) {
+	for _, g := range l.grants {
+		if g.conn == conn && (g.state == sent || g.state == held) {
+			g.silent = true
+			s.endAlone(g) // else no other leaf could be kept for a request that runs alone
+			s.hold(g, now.Add(silentHold))
+		}
+	}
+	switch {
+	case l.conn == conn:
+		s.disconnect(l)
+	case l.connected: // on a newer session
+		s.answers(l, now)
+	}
+}
+
+// answers sets the end of the slots of a silent leaf, which has just answered on a new session. It reads what waits in
+// its old sockets at about the same time, within backend.EndGrace.
+func (s *Service) answers(l *leafState, now time.Time) {
+	for _, g := range l.grants {
+		if g.silent {
+			g.silent = false
+			s.hold(g, now.Add(g.timeout+backend.EndGrace))
+		}
+	}
+}
+
 // hold keeps a slot in use until the given time.
 func (s *Service) hold(g *Grant, until time.Time) {
 	g.state, g.until = held, until
@@ -152,11 +193,15 @@
 func (s *Service) end(g *Grant) {
 	g.state = ended
 	g.leaf.remove(g)
+	s.endAlone(g)
+	s.dropForgotten(g.leaf)
+}
+
+func (s *Service) endAlone(g *Grant) {
 	if g.alone {
-		g.leaf.runsAlone = false
+		g.alone, g.leaf.runsAlone = false, false
 		s.alone--
 	}
-	s.dropForgotten(g.leaf)
 }
 
 func (s *Service) dropForgotten(l *leafState) {
--- a/internal/slots/leaf.go
+++ b/internal/slots/leaf.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"time"
+
+	"cyclamenstream/api/backend"
 )
 
 // leafState is one leaf. Its fields are guarded by the service's lock.
@@ -44,7 +46,11 @@
 func (l *leafState) busyFor(now time.Time) []time.Duration {
 	var busy []time.Duration
 	for _, g := range l.grants {
-		busy = append(busy, max(g.until.Sub(now), 0))
+		left := g.until.Sub(now)
+		if g.silent { // the next owner cannot know when the leaf goes on
+			left = g.timeout + backend.EndGrace
+		}
+		busy = append(busy, max(left, 0))
 	}
 	return busy
 }
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -3,7 +3,8 @@
 //
 // Each Service is one shard of state under its own lock. Slots that a leaf may still be working on stay in use until
 // the leaf has confirmed the end, the call's timeout plus backend.EndGrace has passed since the send, or the leaf shows
-// a new boot identifier.
+// a new boot identifier. If the time has passed without any word, the leaf may be paused: it is disconnected, and the
+// time starts again when it answers on a new session.
 package slots
 
 import (
@@ -222,6 +223,7 @@
 	if l.bootID != "" && l.bootID != bootID {
 		s.endWhere(l, func(*Grant) bool { return true }) // they were sent to a process that is gone
 	}
+	s.answers(l, now)
 	l.zone, l.bootID, l.conn = zone, bootID, session
 	l.connected, l.draining, l.forgotten, l.handedOver = true, false, false, false
 	l.epoch++
@@ -297,14 +299,18 @@
 	now := s.lock()
 	defer func() { s.unlock(now) }()
 	if l := s.leaves[vm]; l != nil && l.connected {
-		l.connected, l.conn = false, nil
-		l.epoch++
-		s.revoke(l)
-		s.unreserve(l)
-		s.fillAll()
+		s.disconnect(l)
 	}
 }
 
+func (s *Service) disconnect(l *leafState) {
+	l.connected, l.conn = false, nil
+	l.epoch++
+	s.revoke(l)
+	s.unreserve(l)
+	s.fillAll()
+}
+
 // Forget drops a leaf without a session once none of its slots is in use.
 func (s *Service) Forget(vm string) {
 	now := s.lock()
--- a/internal/slots/slots_test.go
+++ b/internal/slots/slots_test.go
@@ -474,3 +474,66 @@
 	c.Assert(errors.Is(got["higher"], ErrNoReplica), qt.IsTrue)
 	c.Assert(errors.Is(ask("nowhere", 5, time.Second), ErrNoReplica), qt.IsTrue)
 }
+
+// Guards against slots of a silent leaf that are reused before the leaf has answered on a new session and has had the
+// time to end what waited in its sockets, and against slots that are kept after a restart or for ever.
+func TestSilentLeaf(t *testing.T) {
+	const timeout = 500 * time.Millisecond
+	tests := []struct {
+		name   string
+		back   time.Duration // after the calls' end without word; 0 for never
+		boot   string
+		forget bool
+		free   time.Duration // after the end without word
+	}{
+		{"goes on", 5 * time.Second, "b", false, 5*time.Second + timeout + backend.EndGrace},
+		{"restarted", 5 * time.Second, "c", false, 5 * time.Second},
+		{"does not come back", 0, "", false, silentHold},
+		{"is removed", 0, "", true, silentHold},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			s := NewService(testOptions(&now, 8))
+			s.Open(now, &cluster.Handover{Leaves: []cluster.LeafHandover{{VM: "a", BootID: "b", Limit: 3}}})
+			s.Connect("a", "z", "b", 1)
+			ask := func(alone bool) *Grant {
+				g, _, _ := s.Acquire(Request{Replicas: func() []leaf.Replica { return []leaf.Replica{{VM: "a"}} },
+					Deadline: now.Add(time.Second), Immediate: true, Alone: alone}, nil)
+				return g
+			}
+			first, second := ask(false), ask(false)
+			qt.Assert(t, first.Send(timeout), qt.IsNil)
+			now = now.Add(timeout)
+			qt.Assert(t, second.Send(timeout), qt.IsNil)
+			now = now.Add(backend.EndGrace)
+			end := now
+			first.Finish(Silent, 0, "")
+			qt.Check(t, ask(false), qt.IsNil)
+			second.Finish(Lost, 0, "") // its session is closed
+			qt.Check(t, s.Close().Leaves[0].BusyFor, qt.DeepEquals,
+				[]time.Duration{timeout + backend.EndGrace, timeout + backend.EndGrace})
+			s.Open(now, nil)
+			if test.forget {
+				s.Forget("a")
+			}
+			if test.back > 0 {
+				now = end.Add(test.back)
+				s.Connect("a", "z", test.boot, 2)
+			}
+			inUse := func() int { s.Poll(); n, _ := s.LeafStats("a"); return n }
+			if now.Before(end.Add(test.free)) {
+				now = end.Add(test.free - 1)
+				qt.Check(t, inUse(), qt.Equals, 2)
+			}
+			now = end.Add(test.free)
+			qt.Check(t, inUse(), qt.Equals, 0)
+			qt.Check(t, len(s.leaves), qt.Equals, map[bool]int{true: 0, false: 1}[test.forget])
+			s.Connect("a", "z", "d", 3)
+			alone := ask(true)
+			qt.Assert(t, alone.Send(timeout), qt.IsNil)
+			alone.Finish(Silent, 0, "")
+			qt.Check(t, s.alone, qt.Equals, 0) // other leaves may be kept for requests that run alone
+		})
+	}
+}
