--- a/internal/leafset/leafset_test.go
+++ b/internal/leafset/leafset_test.go
@@ -11,13 +11,14 @@
 
 	"cyclamenstream/api/backend"
 	"cyclamenstream/api/cluster"
+	"cyclamenstream/api/leaf"
 	"cyclamenstream/api/verdict"
 )
 
 var never [3]time.Duration
 
 // Guards against leaves that get more calls than their ramp allows when they turn cold or restart under full load, when
-// a session is lost while its calls go on, when ownership is lost and regained, and when hedges are cancelled. The
+// a session is lost while its calls go on, when a paused leaf goes on with what waits in its sockets, when ownership is lost and regained, and when hedges are cancelled. The
 // leaves count their own calls.
 func TestNoOverload(t *testing.T) {
 	tests := []struct {
@@ -38,6 +39,7 @@
 			time.Sleep(150 * time.Millisecond)
 			w.leaves[0].drop(false)
 		}},
+		{"paused", never, func(w *world) { w.leaves[0].pause(2 * time.Second) }},
 		{"ownership lost and regained", never, func(w *world) {
 			w.change(func() { w.owned = nil })
 			time.Sleep(5 * time.Millisecond)
@@ -177,7 +179,8 @@
 	})
 }
 
-// Guards against a handover that loses the limits or the calls under way, and a crash that is reported without them.
+// Guards against a handover that loses the limits or the calls under way, and a crash or a lost connection that is
+// reported without them or as the other.
 func TestHandoverAndCrash(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
@@ -208,17 +211,19 @@
 		time.Sleep(100 * time.Millisecond)
 		inUse, limit := next.set.find("svc").slots.LeafStats("leaf0")
 		c.Assert([]int{inUse, limit}, qt.DeepEquals, []int{1, 3})
-		slot = next.mustAcquire()
-		call = newCall(500 * time.Millisecond)
-		lost := make(chan error, 1)
-		go func() { _, err := slot.Do(context.Background(), call); lost <- err }()
-		time.Sleep(10 * time.Millisecond)
-		l.drop(true)
-		err := <-lost
-		c.Assert(verdict.CodeOf(err), qt.Equals, verdict.CodeSessionLost)
-		c.Assert(verdict.Of(err), qt.Equals, verdict.MayHaveRun())
-		crash := <-next.set.Crashes()
-		c.Assert(crash.Running, qt.DeepEquals, []string{call.ID})
+		for _, restart := range []bool{false, true} {
+			slot = next.mustAcquire()
+			call = newCall(500 * time.Millisecond)
+			lost := make(chan error, 1)
+			go func() { _, err := slot.Do(context.Background(), call); lost <- err }()
+			time.Sleep(10 * time.Millisecond)
+			l.drop(restart)
+			err := <-lost
+			c.Assert(verdict.CodeOf(err), qt.Equals, verdict.CodeSessionLost)
+			c.Assert(verdict.Of(err), qt.Equals, verdict.MayHaveRun())
+			c.Assert(<-next.set.Crashes(), qt.DeepEquals, leaf.Crash{Service: "svc", VM: "leaf0", Running: []string{call.ID},
+				SameBoot: !restart})
+		}
 		time.Sleep(100 * time.Millisecond)
 		inUse, limit = next.set.find("svc").slots.LeafStats("leaf0")
 		c.Assert([]int{inUse, limit}, qt.DeepEquals, []int{0, 1})
--- a/internal/leafset/worker.go
+++ b/internal/leafset/worker.go
@@ -95,8 +95,9 @@
 // serve uses a session until it is lost or ctx ends; in the latter case it lets the calls end first.
 func (w *worker) serve(ctx context.Context, c *conn, status backend.Status) {
 	svc := w.service
-	if w.last != nil && w.last.bootID != c.bootID {
-		svc.set.reportCrash(leaf.Crash{Service: svc.name, VM: w.vm.ID, Running: w.last.calls()})
+	if w.last != nil {
+		svc.set.reportCrash(leaf.Crash{Service: svc.name, VM: w.vm.ID, Running: w.last.calls(),
+			SameBoot: w.last.bootID == c.bootID})
 	}
 	svc.record(event.LeafConnected, w.vm.ID, c.bootID)
 	svc.store(w.vm, &status)
@@ -155,6 +156,7 @@
 
 	mu      sync.Mutex
 	running map[string]bool // identifiers of the calls under way and of those lost with the session
+	silent  bool            // a call's time has passed without word from the leaf while the session stood
 	active  int
 	idle    chan struct{} // not nil once drained was called; closed when active is 0
 }
@@ -166,6 +168,19 @@
 	}
 }
 
+// silenced reports whether a call has ended because the leaf was silent and not because the session was lost. timedOut
+// says that the call's time has passed.
+func (c *conn) silenced(timedOut bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	select {
+	case <-c.session.Done():
+	default:
+		c.silent = c.silent || timedOut
+	}
+	return c.silent
+}
+
 func (c *conn) begin(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
