Keep a leaf cold for the service's cold time

Cause: the leaves of a new service are all cold, so that their latencies look normal and eight quick answers raised the limit while the leaves still bore one call. Before: the process test of crashing requests saw two calls on cold leaves of three services' starts within 300 ms. After: answers within cold_time (1 s by default, set per service) do not raise the limit; the new test fails without it. Conclusion: a ramp driven by answers alone cannot know how long a cold start lasts.

--- a/api/config/config.go
+++ b/api/config/config.go
@@ -17,6 +17,9 @@
 	// MaxDeadline bounds the deadline of a profile.
 	MaxDeadline = 60 * time.Second
 	MaxPriority = 9
+	// DefaultColdTime is the cold time of services that set none; MaxColdTime is the longest one allowed.
+	DefaultColdTime = time.Second
+	MaxColdTime     = 10 * time.Minute
 )
 
 // Duration is a time.Duration that is written as text ("150ms") in JSON and TOML.
@@ -62,10 +65,21 @@
 	Slots int `json:"slots"`
 	// ColdSlots is the number of concurrent calls that a leaf in cold start bears, at least 1.
 	ColdSlots int `json:"cold_slots"`
+	// ColdTime is how long a leaf is certainly treated as cold after it was found or lost; 0 means DefaultColdTime.
+	// After it the limit grows with each run of answers.
+	ColdTime Duration `json:"cold_time,omitempty"`
 	// Connections is the number of connections that a leaf accepts from all clients together.
 	Connections int `json:"connections"`
 }
 
+// EffectiveColdTime returns the cold time with the default filled in.
+func (s Service) EffectiveColdTime() time.Duration {
+	if s.ColdTime == 0 {
+		return DefaultColdTime
+	}
+	return time.Duration(s.ColdTime)
+}
+
 // Document is the whole configuration. A Document that was published is never changed.
 type Document struct {
 	// Version grows by one with each accepted change.
--- a/cmd/cyclamenstream/service.go
+++ b/cmd/cyclamenstream/service.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"cyclamenstream/api/config"
 	"cyclamenstream/internal/httpapi"
@@ -19,12 +20,13 @@
 }
 
 type serviceSet struct {
-	Name          string    `arg:"" help:"Name of the service."`
-	Profile       *string   `help:"Profile that its requests run under; needed for a new service." placeholder:"NAME"`
-	ExtraProfiles *[]string `help:"Further profiles that a request may select; replaces the list." placeholder:"NAME"`
-	Slots         *int      `help:"Concurrent calls that a warm backend server can handle; needed for a new service." placeholder:"N"`
-	ColdSlots     *int      `help:"Concurrent calls that a backend server in cold start can handle; 1 for a new service." placeholder:"N"`
-	Connections   *int      `help:"Connections that a backend server accepts from all clients; needed for a new service." placeholder:"N"`
+	Name          string         `arg:"" help:"Name of the service."`
+	Profile       *string        `help:"Profile that its requests run under; needed for a new service." placeholder:"NAME"`
+	ExtraProfiles *[]string      `help:"Further profiles that a request may select; replaces the list." placeholder:"NAME"`
+	Slots         *int           `help:"Concurrent calls that a warm backend server can handle; needed for a new service." placeholder:"N"`
+	ColdSlots     *int           `help:"Concurrent calls that a backend server in cold start can handle; 1 for a new service." placeholder:"N"`
+	ColdTime      *time.Duration `help:"How long a backend server is certainly treated as cold; 0s means 1s." placeholder:"DURATION"`
+	Connections   *int           `help:"Connections that a backend server accepts from all clients; needed for a new service." placeholder:"N"`
 	waitFlag
 }
 
@@ -56,6 +58,7 @@
 	set(&s.ExtraProfiles, c.ExtraProfiles)
 	set(&s.Slots, c.Slots)
 	set(&s.ColdSlots, c.ColdSlots)
+	set(&s.ColdTime, (*config.Duration)(c.ColdTime))
 	set(&s.Connections, c.Connections)
 	return a.apply(ctx, config.Change{
 		Op: config.OpPutService, Name: c.Name, BaseItemVersion: document.ItemVersions["service/"+c.Name], CheckBase: true, Service: &s,
@@ -112,10 +115,10 @@
 // printServices writes value as JSON or the list as a table.
 func (a *app) printServices(value any, list ...httpapi.ServiceBody) error {
 	return a.print(value, func(w io.Writer) {
-		row(w, "NAME", "VERSION", "PROFILE", "EXTRA PROFILES", "SLOTS", "COLD SLOTS", "CONNECTIONS")
+		row(w, "NAME", "VERSION", "PROFILE", "EXTRA PROFILES", "SLOTS", "COLD SLOTS", "COLD TIME", "CONNECTIONS")
 		for _, b := range list {
 			row(w, b.Name, b.ItemVersion, b.Service.Profile, strings.Join(b.Service.ExtraProfiles, ","), b.Service.Slots,
-				b.Service.ColdSlots, b.Service.Connections)
+				b.Service.ColdSlots, b.Service.EffectiveColdTime(), b.Service.Connections)
 		}
 	})
 }
--- a/internal/configstore/apply.go
+++ b/internal/configstore/apply.go
@@ -252,6 +252,9 @@
 	case s.ColdSlots < 1 || s.ColdSlots > s.Slots || s.Slots > MaxSlots:
 		return Invalid.New("service %q: cold_slots %d and slots %d, allowed is 1 <= cold_slots <= slots <= %d",
 			name, s.ColdSlots, s.Slots, MaxSlots)
+	case s.ColdTime < 0 || time.Duration(s.ColdTime) > config.MaxColdTime:
+		return Invalid.New("service %q: cold_time %v, allowed are 0s (meaning %v) to %v", name, time.Duration(s.ColdTime),
+			config.DefaultColdTime, config.MaxColdTime)
 	case s.Connections < 1 || s.Connections > MaxSlots:
 		return Invalid.New("service %q: connections %d, allowed are 1 to %d", name, s.Connections, MaxSlots)
 	case len(s.ExtraProfiles) > maxExtra:
--- a/internal/leafset/leafset.go
+++ b/internal/leafset/leafset.go
@@ -143,6 +143,10 @@
 	}
 }
 
+func limitsOf(s config.Service) slots.Limits {
+	return slots.Limits{Slots: s.Slots, ColdSlots: s.ColdSlots, ColdTime: s.EffectiveColdTime()}
+}
+
 // reconcile opens and closes services and their sessions as ownership, configuration and the list of leaves ask.
 func (s *Set) reconcile(owned []cluster.OwnedService) {
 	document := s.deps.Config.Current()
@@ -154,7 +158,7 @@
 		if cfg, ok := document.Services[o.Service]; ok {
 			wanted[o.Service] = true
 			if svc := s.service(o.Service); svc != nil {
-				svc.update(o, slots.Limits{Slots: cfg.Slots, ColdSlots: cfg.ColdSlots}, s.deps.Membership.Leaves(o.Service))
+				svc.update(o, limitsOf(cfg), s.deps.Membership.Leaves(o.Service))
 			}
 		}
 	}
--- a/internal/slots/grant.go
+++ b/internal/slots/grant.go
@@ -100,10 +100,10 @@
 	alone := s.alone
 	s.end(g)
 	if outcome == Answered && bootID != g.bootID {
-		s.showBoot(l, bootID)
+		s.showBoot(l, bootID, now)
 	}
 	if l.connected && l.epoch == g.epoch {
-		s.adjust(l, outcome, latency)
+		s.adjust(l, outcome, latency, now)
 	}
 	if s.alone < alone {
 		s.fillAll() // another leaf may be reserved now
@@ -112,10 +112,10 @@
 	s.fill(l)
 }
 
-func (s *Service) adjust(l *leafState, outcome Outcome, latency time.Duration) {
+func (s *Service) adjust(l *leafState, outcome Outcome, latency time.Duration, now time.Time) {
 	switch outcome {
 	case Answered:
-		if l.ramp.answered(latency, s.opt.Typical(), s.opt.Limits) {
+		if !now.Before(l.coldUntil) && l.ramp.answered(latency, s.opt.Typical(), s.opt.Limits) {
 			s.opt.Changed(l.vm, TurnedWarm)
 		}
 	case Ended:
--- a/internal/slots/leaf.go
+++ b/internal/slots/leaf.go
@@ -17,8 +17,9 @@
 	forgotten        bool
 	handedOver       bool // limit and boot identifier come from a handover
 	ramp             ramp
-	grants           []*Grant // slots in use
-	reserved         *Waiter  // waits until the leaf is empty, to run alone
+	coldUntil        time.Time // answers before do not raise the limit
+	grants           []*Grant  // slots in use
+	reserved         *Waiter   // waits until the leaf is empty, to run alone
 	runsAlone        bool
 }
 
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -27,6 +27,8 @@
 type Limits struct {
 	Slots     int
 	ColdSlots int
+	// ColdTime is how long a leaf is certainly treated as cold: answers within it do not raise the limit.
+	ColdTime time.Duration
 }
 
 // Options are a Service's surroundings. Its functions are called with the service's lock held, so they must not block
@@ -164,6 +166,9 @@
 		l := s.leaf(given.VM)
 		l.bootID, l.handedOver = given.BootID, true
 		l.ramp.restart(min(max(given.Limit, s.opt.ColdSlots), s.opt.Slots))
+		if l.ramp.limit == s.opt.ColdSlots {
+			l.coldUntil = now.Add(s.opt.ColdTime)
+		}
 		for _, busy := range given.BusyFor {
 			g := &Grant{service: s, leaf: l, bootID: given.BootID, state: held}
 			l.add(g)
@@ -228,7 +233,7 @@
 	l.connected, l.draining, l.forgotten, l.handedOver = true, false, false, false
 	l.epoch++
 	if !keep {
-		s.turnCold(l)
+		s.turnCold(l, now)
 	}
 	s.fillAll()
 }
@@ -239,7 +244,7 @@
 	now := s.lock()
 	defer func() { s.unlock(now) }()
 	if l := s.leaves[vm]; l != nil && l.epoch == epoch {
-		s.showBoot(l, bootID)
+		s.showBoot(l, bootID, now)
 		s.fillAll()
 	}
 }
@@ -256,14 +261,14 @@
 
 // showBoot takes in a boot identifier that was shown on the present session. Slots of calls that were sent stay in use:
 // as the session goes on, the calls may do so too.
-func (s *Service) showBoot(l *leafState, bootID string) {
+func (s *Service) showBoot(l *leafState, bootID string, now time.Time) {
 	if !l.connected || bootID == l.bootID {
 		return
 	}
 	l.bootID = bootID
 	l.epoch++
 	s.revoke(l)
-	s.turnCold(l)
+	s.turnCold(l, now)
 }
 
 // SetDraining says whether the leaf wants no new work.
@@ -369,8 +374,9 @@
 	s.order = slices.Delete(s.order, i, i+1)
 }
 
-func (s *Service) turnCold(l *leafState) {
+func (s *Service) turnCold(l *leafState, now time.Time) {
 	l.ramp.restart(s.opt.ColdSlots)
+	l.coldUntil = now.Add(s.opt.ColdTime)
 	s.opt.Changed(l.vm, TurnedCold)
 }
 
--- a/internal/slots/slots_test.go
+++ b/internal/slots/slots_test.go
@@ -537,3 +537,33 @@
 		})
 	}
 }
+
+// Guards against a leaf that answers quickly in its cold start and gets a second call before the cold time is over: the
+// leaves of a new service are all cold, so that cold latencies look normal.
+func TestColdTime(t *testing.T) {
+	now := time.Unix(1000, 0)
+	opt := testOptions(&now, 8)
+	opt.ColdTime = time.Second
+	s := NewService(opt)
+	s.Open(now, nil)
+	s.Connect("a", "z", "boot-1", nil)
+	answer := func(bootID string) {
+		g, _, err := s.Acquire(Request{Replicas: func() []leaf.Replica { return []leaf.Replica{{VM: "a"}} },
+			Deadline: now.Add(time.Second)}, nil)
+		qt.Assert(t, err, qt.IsNil)
+		g.Send(time.Second)
+		g.Finish(Answered, time.Millisecond, bootID)
+	}
+	limitAfter := func(answers int, d time.Duration, bootID string) int {
+		now = now.Add(d)
+		for range answers {
+			answer(bootID)
+		}
+		_, limit := s.LeafStats("a")
+		return limit
+	}
+	qt.Assert(t, limitAfter(10*stepAnswers, 999*time.Millisecond, "boot-1"), qt.Equals, 1)
+	qt.Assert(t, limitAfter(stepAnswers, time.Millisecond, "boot-1"), qt.Equals, 2)
+	qt.Assert(t, limitAfter(1, 0, "boot-2"), qt.Equals, 1)
+	qt.Assert(t, limitAfter(10*stepAnswers, 500*time.Millisecond, "boot-2"), qt.Equals, 1)
+}
