Test each lease rule and refuse a change identifier used for another item

Cause: random schedules did not tell apart versions without some of the lease rules, and a reused change identifier was reported as accepted although its change was not written. After: tables for the claimant's and the peer's rules. Versions without the wait of peers or claimants, the freshness or same-set condition, the sequence check, the clock margin, replaced sets, or the end of acknowledgements at a release fail. A reused identifier is rejected and names the item that it was used for. Conclusion: every rule named in the argument at type ledger has a test that fails without it.

--- a/internal/configstore/apply.go
+++ b/internal/configstore/apply.go
@@ -82,14 +82,13 @@
 	return next, nil
 }
 
-// Find returns the version at which the history records the change.
-func Find(doc *config.Document, id string) (version uint64, found bool) {
-	for _, r := range doc.History {
-		if r.ID == id {
-			return r.Version, true
-		}
+// Find returns the history's record of a change.
+func Find(doc *config.Document, id string) (record config.ChangeRecord, found bool) {
+	i := slices.IndexFunc(doc.History, func(r config.ChangeRecord) bool { return r.ID == id })
+	if i < 0 {
+		return record, false
 	}
-	return 0, false
+	return doc.History[i], true
 }
 
 // Encode returns the stored form of the document.
--- a/internal/configstore/configstore_test.go
+++ b/internal/configstore/configstore_test.go
@@ -305,6 +305,8 @@
 		{"corrupt value", []fault{corrupted, corrupted, corrupted, corrupted}, put("new", 5), operator.Accepted},
 		{"older value", []fault{older}, put("new", 5), operator.Accepted},
 		{"older value after a lost response", []fault{none, dropped, older}, put("new", 5), operator.Accepted},
+		{"identifier of another change", nil, put("4", 5), operator.Rejected},
+		{"resent", nil, put("3", 5), operator.Accepted},
 		{"invalid", nil, put("new", 50), operator.Rejected},
 		{"same item", nil, config.Change{ID: "new", Op: config.OpPutProfile, Name: "gate", Profile: profile(5),
 			CheckBase: true, BaseItemVersion: 1}, operator.Conflict},
@@ -322,7 +324,11 @@
 				result := NewEditor(store, docs, yes, nil, event.Discard{}).Change(t.Context(), test.change)
 				qt.Assert(t, result.Outcome, qt.Equals, test.want, qt.Commentf("%+v", result))
 				time.Sleep(10 * time.Second) // late writes
-				qt.Assert(t, checkStore(store, docs, result, false), qt.IsNil)
+				if test.change.ID == "new" {
+					qt.Assert(t, checkStore(store, docs, result, false), qt.IsNil)
+				} else {
+					qt.Assert(t, store.written, qt.HasLen, 0)
+				}
 				if result.Outcome == operator.Conflict {
 					qt.Assert(t, []uint64{result.ItemVersion, result.BaseItemVersion}, qt.DeepEquals, []uint64{3, 1})
 				}
@@ -333,6 +339,8 @@
 
 // checkStore checks the outcome against the store's content. A store that lost writes may have got the change twice.
 func checkStore(store *fakeStore, docs *holder, result operator.ChangeResult, lostWrites bool) error {
+	store.mu.Lock()
+	defer store.mu.Unlock()
 	doc, err := Decode(store.entry.Value)
 	if err != nil {
 		return err
@@ -351,7 +359,8 @@
 			writes++
 		}
 	}
-	version, _ := Find(doc, "new")
+	record, _ := Find(doc, "new")
+	version := record.Version
 	switch result.Outcome {
 	case operator.Accepted:
 		if recorded != 1 || (writes != 1 && !lostWrites) || version != result.Version || docs.Current().Version < version {
@@ -384,7 +393,9 @@
 			result := editor.Change(t.Context(), put("new", 5))
 			outcomes[result.Outcome]++
 			time.Sleep(10 * time.Second)
+			store.mu.Lock()
 			store.faults = nil
+			store.mu.Unlock()
 			if result.Outcome == operator.Unresolved {
 				// A resend with the same identifier resolves it.
 				result = editor.Change(t.Context(), put("new", 5))
--- a/internal/configstore/editor.go
+++ b/internal/configstore/editor.go
@@ -105,9 +105,8 @@
 	if r.docs.Announced() > doc.Version {
 		return operator.ChangeResult{}, errors.New("a peer holds a newer document than the store")
 	}
-	if version, found := Find(doc, r.change.ID); found {
-		r.docs.Adopt(doc)
-		return operator.ChangeResult{Outcome: operator.Accepted, Version: version}, nil
+	if record, found := Find(doc, r.change.ID); found {
+		return r.recorded(doc, record), nil
 	}
 	if err := r.settle(entry, doc); err != nil {
 		return operator.ChangeResult{Outcome: operator.Unresolved, Message: err.Error()}, nil
@@ -115,6 +114,16 @@
 	return r.write(ctx, entry, doc)
 }
 
+// recorded returns the result of a change whose identifier is in the history.
+func (r *attempt) recorded(doc *config.Document, record config.ChangeRecord) operator.ChangeResult {
+	r.docs.Adopt(doc)
+	if item := Item(r.change); record.Item != item {
+		return operator.ChangeResult{Outcome: operator.Rejected,
+			Message: Invalid.New("change identifier %q of %s was used for %s", record.ID, item, record.Item).Error()}
+	}
+	return operator.ChangeResult{Outcome: operator.Accepted, Version: record.Version}
+}
+
 // settle decides what became of an unclear write whose change is not in the document's history.
 func (r *attempt) settle(entry platform.Entry, doc *config.Document) error {
 	if !r.unclear || entry.Version <= r.unclearStore {
@@ -172,9 +181,8 @@
 	_, doc, err := r.read(context.WithoutCancel(ctx))
 	held := r.docs.Current()
 	if err == nil && (held == nil || held.Version <= doc.Version) {
-		if version, found := Find(doc, r.change.ID); found {
-			r.docs.Adopt(doc)
-			return operator.ChangeResult{Outcome: operator.Accepted, Version: version}
+		if record, found := Find(doc, r.change.ID); found {
+			return r.recorded(doc, record)
 		}
 	}
 	return operator.ChangeResult{Outcome: operator.Unresolved, Message: cause.Error()}
--- a/internal/member/leases_test.go
+++ b/internal/member/leases_test.go
@@ -265,6 +265,124 @@
 	return owners
 }
 
+// Guards against acknowledgements that count although the rules say no, and against a lease that is longer than its rule.
+func TestAcknowledgementRules(t *testing.T) {
+	const sent = settleTime + time.Second
+	self, set := identity{"n1", "b"}, newMemberSet([]string{"n1", "n2", "n3"})
+	answer := func(g *ledger, sent instant, same, fresh bool) {
+		g.claim(sent, []string{simService}, true)
+		for _, peer := range []string{"n2", "n3"} {
+			g.answered(sent+100*time.Millisecond, peer, sent, same, fresh, []string{simService})
+		}
+	}
+	const lease = 1800 * time.Millisecond                                     // the lease time less the margin
+	grown := newMemberSet([]string{"n1", "n2", "n3", "n4", "n5", "n6", "n7"}) // a majority is 4
+	other := newMemberSet([]string{"n1", "n4", "n5"})
+	tests := []struct {
+		name string
+		act  func(g *ledger)
+		want instant // end of the lease, 0 for none
+	}{
+		{"majority", func(g *ledger) { answer(g, sent, true, true) }, sent + lease},
+		{"own only", func(g *ledger) { g.claim(sent, []string{simService}, true) }, 0},
+		{"peer is not fresh", func(g *ledger) { answer(g, sent, true, false) }, 0},
+		{"peer has another set", func(g *ledger) { answer(g, sent, false, true) }, 0},
+		{"sent before the set has settled", func(g *ledger) { answer(g, settleTime-1, true, true) }, 0},
+		{"sent before a release", func(g *ledger) {
+			g.claim(sent, []string{simService}, true)
+			g.release(sent, simService, "n3")
+			g.answered(sent+1, "n2", sent, true, true, []string{simService})
+			g.answered(sent+1, "n3", sent, true, true, []string{simService})
+		}, 0},
+		{"set grows, new majority is missing", func(g *ledger) {
+			answer(g, sent, true, true)
+			g.setMembers(sent+time.Second, grown, true)
+		}, 0},
+		{"set changes, old majority is missing", func(g *ledger) {
+			answer(g, sent, true, true)
+			g.answered(sent+1, "n4", sent, true, true, []string{simService})
+			g.setMembers(sent+1, other, true)
+			g.claim(sent+time.Second, []string{simService}, true)
+			g.answered(sent+time.Second, "n4", sent+time.Second, true, true, []string{simService})
+		}, sent + lease},
+		{"set changes while not fresh", func(g *ledger) {
+			answer(g, sent, true, true)
+			g.setMembers(sent+time.Second, newMemberSet([]string{"n1", "n2"}), false)
+		}, 0},
+		{"set shrinks", func(g *ledger) {
+			answer(g, sent, true, true)
+			g.setMembers(sent+time.Second, newMemberSet([]string{"n1", "n2"}), true)
+		}, sent + lease},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := newLedger(self)
+			g.setMembers(0, set, true)
+			test.act(g)
+			until := instant(g.lease(simService).ownedUntil.Load())
+			qt.Assert(t, until, qt.Equals, test.want)
+			qt.Assert(t, g.owns(simService, test.want), qt.IsFalse)
+			qt.Assert(t, g.owns(simService, max(0, test.want-1)), qt.Equals, test.want > 0)
+		})
+	}
+}
+
+// Guards against a peer that acknowledges two claimants, or one that it must not acknowledge yet.
+func TestPeerRules(t *testing.T) {
+	const now = settleTime + time.Second
+	set := newMemberSet([]string{"n1", "n2", "n3"})
+	claims := func(vm, boot string, sequence uint64) ping {
+		return ping{from: identity{vm, boot}, sequence: sequence, hash: set.hash, claims: []string{simService}}
+	}
+	release := func(sequence uint64) ping {
+		return ping{from: identity{"n2", "a"}, sequence: sequence, releases: map[string]string{simService: "n3"}}
+	}
+	strange := claims("n3", "a", 1)
+	strange.hash++
+	tests := []struct {
+		name   string
+		at     instant
+		before []ping // received at now
+		p      ping
+		fresh  bool
+		want   bool
+	}{
+		{"first claim", now, nil, claims("n3", "a", 1), true, true},
+		{"just started", settleTime - 1, nil, claims("n3", "a", 1), true, false},
+		{"not fresh", now, nil, claims("n3", "a", 1), false, false},
+		{"other set", now, nil, strange, true, false},
+		{"held", now + LeaseTime - 1, []ping{claims("n2", "a", 1)}, claims("n3", "a", 1), true, false},
+		{"expired", now + LeaseTime, []ping{claims("n2", "a", 1)}, claims("n3", "a", 1), true, true},
+		{"another run of the holder", now, []ping{claims("n2", "a", 1)}, claims("n2", "b", 1), true, false},
+		{"holder renews while not fresh", now, []ping{claims("n2", "a", 1)}, claims("n2", "a", 2), false, true},
+		{"repeated", now, []ping{claims("n2", "a", 1)}, claims("n2", "a", 1), true, false},
+		{"released to the claimant", now, []ping{claims("n2", "a", 1), release(2)}, claims("n3", "a", 1), true, true},
+		{"released, then an older claim", now, []ping{claims("n2", "a", 1), release(3)}, claims("n2", "a", 2), true, false},
+		{"release by another node", now, []ping{claims("n1", "a", 1), release(2)}, claims("n3", "a", 1), true, false},
+		{"late release after a new claim", now, []ping{claims("n2", "a", 5), release(2)}, claims("n3", "a", 1), true, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := newLedger(identity{"n0", "a"})
+			g.setMembers(0, set, true)
+			for _, p := range test.before {
+				g.receive(now, p, true)
+			}
+			qt.Assert(t, len(g.receive(test.at, test.p, test.fresh)) == 1, qt.Equals, test.want)
+		})
+	}
+}
+
+// Guards against a node that takes a service back and tells the old release with its new claim: a peer would pass the
+// service on while the node counts that peer's acknowledgement.
+func TestClaimCancelsRelease(t *testing.T) {
+	g := newLedger(identity{"n1", "a"})
+	g.release(1, simService, "n2")
+	qt.Assert(t, g.releases(2), qt.DeepEquals, map[string]string{simService: "n2"})
+	g.claim(2, []string{simService}, true)
+	qt.Assert(t, g.releases(2), qt.HasLen, 0)
+}
+
 // Guards against two nodes that pass the ownership check of one service at the same time, under lost, late and repeated
 // heartbeats, pauses, restarts, clocks at different rates, partitions, changes of the member set, outages of the
 // platform and planned moves.
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -120,6 +120,11 @@
 	pings, pingErrors, handovers, handoverErrors, leasesLost tally.Counter
 }
 
+var (
+	_ cluster.Membership = (*Node)(nil)
+	_ cluster.Ownership  = (*Node)(nil)
+)
+
 type ownedService struct {
 	cluster.OwnedService
 	term uint64
--- a/internal/peerrpc/peerrpc_test.go
+++ b/internal/peerrpc/peerrpc_test.go
@@ -16,12 +16,18 @@
 	"cyclamenstream/api/query"
 	"cyclamenstream/api/verdict"
 	"cyclamenstream/gen/peerpb"
+	"cyclamenstream/internal/member"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/uber-go/tally/v4"
 	"google.golang.org/grpc"
 )
 
+var (
+	_ member.Transport = (*Client)(nil)
+	_ Members          = (*member.Node)(nil)
+)
+
 type queries func(ctx context.Context, r query.Request) (query.Answer, error)
 
 func (q queries) Execute(ctx context.Context, r query.Request) (query.Answer, error) {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -117,6 +117,9 @@
 			s.value = stored(4)
 			_ = r.readConfig(context.Background())
 		}, held, 0},
+		{"watch returns a newer value", func(r *Relay, _ *source, _ time.Time) {
+			_ = r.takeConfig(platform.Entry{Value: stored(6), Version: 6}, time.Time{})
+		}, 6, 0},
 		{"store returns garbage", func(r *Relay, s *source, _ time.Time) {
 			s.value = []byte("{")
 			_ = r.readConfig(context.Background())
