Leave time for the way back when a query is forwarded

Cause: a forwarded query got all the time that was left, counted from its receipt. An owner that used it up, or a node that waited for its lease until then, answered when the forwarding node had given up.

In the new test a refusal 20 ms after the end of the time is lost. Now the peer gets 50 ms less, at most a quarter of the time.

Conclusion: a query that is forwarded ends up to 50 ms earlier with what it has, instead of losing its answer.

--- a/internal/peerrpc/client.go
+++ b/internal/peerrpc/client.go
@@ -21,6 +21,14 @@
 	"google.golang.org/grpc/keepalive"
 )
 
+// The peer gets less time than is left here, so that an answer that it sends at its deadline arrives in time: two ways of
+// 20 ms between the farthest regions and the scheduling of both processes, but at most a share of the time. Without it,
+// partial answers and refusals of queries that run out of time were lost and reported as "may have run".
+const (
+	returnMargin = 50 * time.Millisecond
+	returnShare  = 4
+)
+
 // Client calls peers over one connection each. It implements member.Transport and is safe for concurrent use.
 type Client struct {
 	mu    sync.Mutex
@@ -157,6 +165,7 @@
 		return query.Answer{}, verdict.Failf(attempt, verdict.CodeNoOwner, err, "node %s is not connected", to.ID)
 	}
 	timeout := time.Until(r.Deadline)
+	timeout -= min(returnMargin, timeout/returnShare)
 	if timeout < time.Millisecond {
 		return query.Answer{}, verdict.Failf(attempt, verdict.CodeDeadline, nil, "no time left to forward to node %s", to.ID)
 	}
--- /dev/null
+++ b/internal/peerrpc/forward_test.go
@@ -0,0 +1,39 @@
+package peerrpc
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+
+	"cyclamenstream/api/platform"
+	"cyclamenstream/api/query"
+	"cyclamenstream/api/verdict"
+)
+
+// waiting answers each query a while after its time is up, as a busy node does.
+type waiting time.Duration
+
+func (w waiting) Execute(ctx context.Context, _ query.Request) (query.Answer, error) {
+	<-ctx.Done()
+	time.Sleep(time.Duration(w))
+	return query.Answer{}, verdict.Refusef(verdict.CodeNoOwner, "no owner")
+}
+
+// Guards against a refusal at the end of the query's time that arrives too late and turns into "may have run".
+func TestRefusalArrivesInTime(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	server := NewServer(Deps{Queries: waiting(20 * time.Millisecond)})
+	go func() { _ = server.Serve(listener) }()
+	defer server.Stop()
+	client := NewClient(tally.NoopScope)
+	defer client.Close()
+	_, err = client.Forward(t.Context(), platform.VM{ID: "n", Address: listener.Addr().String()},
+		query.Request{ID: "q", Service: "s", Deadline: time.Now().Add(400 * time.Millisecond)})
+	qt.Check(t, verdict.CodeOf(err), qt.Equals, verdict.CodeNoOwner, qt.Commentf("%v", err))
+	qt.Check(t, verdict.Of(err).IsNotRun(), qt.IsTrue)
+}
