--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -168,25 +168,36 @@
 			ColdTime: g.ColdTime, ColdFactor: g.ColdFactor, Connections: g.Connections, ConnectionCost: g.ConnectionCost,
 			Latency: g.ServiceTime / 2, StragglerShare: g.StragglerShare, Seed: c.experiment.Seed + uint64(len(c.servers)),
 			StragglerLatency: config.Duration(float64(g.ServiceTime) * g.StragglerFactor),
-			RestartAfter:     c.outage(i),
-			Snapshots:        []backend.SnapshotInfo{leaf.Snapshot(snapshotID, 1, uint32(g.Shards), uint32(i%g.Shards))}})
+			FallOver:         g.FallOver, RestartAfter: c.away(g, i),
+			Snapshots: []backend.SnapshotInfo{leaf.Snapshot(snapshotID, 1, uint32(g.Shards), uint32(i%g.Shards))}})
 		c.network.Add(id, l)
 		c.servers[id] = &server{Leaf: l, id: id, zone: c.zone(i), service: name, slots: g.Slots, coldSlots: g.ColdSlots,
-			work: make(chan struct{}, g.Slots)}
+			work: make(chan struct{}, worked(g))}
 		c.services[name] = append(c.services[name], id)
 	}
 }
 
 func (c *cluster) zone(i int) string { return c.experiment.Zones[i%len(c.experiment.Zones)].Name }
 
-// outage returns how long a leaf is away when its zone is taken out.
-func (c *cluster) outage(leaf int) config.Duration {
+// unbounded is more calls than ever reach a leaf at once.
+const unbounded = 1 << 16
+
+// worked returns the number of calls that a leaf works on at once. One that falls over takes all.
+func worked(g Service) int {
+	if g.FallOver {
+		return unbounded
+	}
+	return g.Slots
+}
+
+// away returns how long a leaf is away after a crash: for the outage of its zone, if there is one.
+func (c *cluster) away(g Service, leaf int) config.Duration {
 	for _, f := range c.experiment.Faults {
 		if f.Zone == c.zone(leaf) {
 			return f.Back - f.Out
 		}
 	}
-	return 0
+	return g.RestartAfter
 }
 
 func (c *cluster) newNode(i int) *node {
@@ -246,12 +257,16 @@
 }
 
 // zoneOut takes the zone's nodes and leaves away. Other nodes own its services after the lease and the takeover wait.
-func (c *cluster) zoneOut(zone string) {
+func (c *cluster) zoneOut(f Fault) {
+	zone := f.Zone
 	for _, s := range c.servers {
 		if s.zone == zone {
 			s.Crash()
 		}
 	}
+	if f.LeavesOnly {
+		return
+	}
 	var lost []string
 	for _, n := range c.nodes {
 		if n.vm.Zone == zone {
@@ -286,9 +301,9 @@
 }
 
 // zoneBack brings the zone's nodes back; its leaves come back by themselves. Owners stay where they are.
-func (c *cluster) zoneBack(zone string) {
+func (c *cluster) zoneBack(f Fault) {
 	for _, n := range c.nodes {
-		if n.vm.Zone != zone {
+		if n.vm.Zone != f.Zone || f.LeavesOnly {
 			continue
 		}
 		n.change(func() {
--- a/internal/bench/experiment.go
+++ b/internal/bench/experiment.go
@@ -18,10 +18,12 @@
 type Experiment struct {
 	Name string `toml:"name" validate:"required"`
 	Seed uint64 `toml:"seed"`
-	// Warmup is the time before the measured Duration, in which leaves leave their cold start.
-	Warmup   config.Duration `toml:"warmup" validate:"min=0"`
-	Duration config.Duration `toml:"duration" validate:"gt=0,lte=10000000000"`
-	Policies []string        `toml:"policies" validate:"required"`
+	// Warmup is the time before the measured Duration, in which leaves leave their cold start. The load is then
+	// WarmupLoad times that of the workloads, above 0.
+	Warmup     config.Duration `toml:"warmup" validate:"min=0"`
+	WarmupLoad float64         `toml:"warmup_load" validate:"gt=0,lte=1"`
+	Duration   config.Duration `toml:"duration" validate:"gt=0,lte=10000000000"`
+	Policies   []string        `toml:"policies" validate:"required"`
 	// Nodes is the number of nodes, dealt out to the zones in turn.
 	Nodes int    `toml:"nodes" validate:"min=1,max=64"`
 	Zones []Zone `toml:"zones" validate:"required,dive"`
@@ -68,6 +70,10 @@
 	ColdTime   config.Duration `toml:"cold_time" validate:"min=0"`
 	ColdCalls  int             `toml:"cold_calls" validate:"min=0"`
 	ColdFactor float64         `toml:"cold_factor" validate:"min=1"`
+	// FallOver makes a leaf that gets more calls than it bears crash and stay away for RestartAfter. Otherwise it works
+	// on as many calls as it has slots, and the others wait inside it without loss of efficiency.
+	FallOver     bool            `toml:"fall_over"`
+	RestartAfter config.Duration `toml:"restart_after" validate:"min=0"`
 }
 
 // Workload is a stream of queries to the services of a group, with independent (Poisson) arrivals.
@@ -80,11 +86,13 @@
 	Load float64 `toml:"load" validate:"gt=0,lte=2"`
 }
 
-// Fault takes a zone with its nodes and leaves away from Out to Back, counted from the end of the warm-up.
+// Fault takes a zone with its nodes and leaves away from Out to Back, counted from the end of the warm-up. With
+// LeavesOnly the nodes stay.
 type Fault struct {
-	Zone string          `toml:"zone" validate:"required"`
-	Out  config.Duration `toml:"out" validate:"gt=0"`
-	Back config.Duration `toml:"back" validate:"gtfield=Out"`
+	Zone       string          `toml:"zone" validate:"required"`
+	LeavesOnly bool            `toml:"leaves_only"`
+	Out        config.Duration `toml:"out" validate:"gt=0"`
+	Back       config.Duration `toml:"back" validate:"gtfield=Out"`
 }
 
 // Load reads and checks a description. Unknown keys are errors.
@@ -136,6 +144,11 @@
 				"non_idempotent is not measured", name, config.MaxLeafTimeout)
 		}
 	}
+	for _, s := range e.Services {
+		if s.FallOver && len(e.Faults) > 0 {
+			return fmt.Errorf("service %q: fall_over cannot be combined with faults", s.Name)
+		}
+	}
 	for _, f := range e.Faults {
 		if !slices.ContainsFunc(e.Zones, func(z Zone) bool { return z.Name == f.Zone }) {
 			return fmt.Errorf("fault: no zone %q", f.Zone)
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -50,8 +50,8 @@
 	var timers []*time.Timer
 	for _, f := range e.Faults {
 		timers = append(timers,
-			time.AfterFunc(time.Until(r.start)+time.Duration(f.Out), func() { r.cluster.zoneOut(f.Zone) }),
-			time.AfterFunc(time.Until(r.start)+time.Duration(f.Back), func() { r.cluster.zoneBack(f.Zone) }))
+			time.AfterFunc(time.Until(r.start)+time.Duration(f.Out), func() { r.cluster.zoneOut(f) }),
+			time.AfterFunc(time.Until(r.start)+time.Duration(f.Back), func() { r.cluster.zoneBack(f) }))
 	}
 	generators.Wait()
 	r.queries.Wait()
@@ -70,7 +70,11 @@
 	group, rate := r.group(w.Service), r.rate(w)
 	at := -time.Duration(r.Warmup)
 	for serial := 0; ; serial++ {
-		at += time.Duration(random.ExpFloat64() / rate * 1e9)
+		now := rate
+		if at < 0 {
+			now *= r.WarmupLoad
+		}
+		at += time.Duration(random.ExpFloat64() / now * 1e9)
 		service := fmt.Sprintf("%s-%d", w.Service, random.IntN(group.Count))
 		choice, forwarded := random.Uint32(), random.Float64() < r.Forwarded
 		if at >= time.Duration(r.Duration) || !pause(ctx, time.Until(r.start.Add(at))) {
@@ -97,8 +101,9 @@
 type outcome struct {
 	at      time.Duration
 	latency time.Duration // from the intended time; of a failed query at least its deadline
-	inTime  bool          // complete and by the deadline
-	failed  verdict.Code  // empty for an answer
+	// complete says that every shard was answered whole; inTime that this was by the deadline too.
+	complete, inTime bool
+	failed           verdict.Code // empty for an answer
 	// coverage is 0 to 1; shards and leafRequests are 0 for a failed query.
 	coverage             float64
 	shards, leafRequests int
@@ -150,13 +155,13 @@
 		} else {
 			o.coverage, o.shards = answer.Coverage.Covered/float64(answer.Coverage.Total), int(answer.Coverage.Total)
 			o.leafRequests = int(answer.LeafRequests)
-			o.inTime = answer.Coverage.Complete()
+			o.complete = answer.Coverage.Complete()
 		}
 	}
 	o.latency = time.Since(intended)
 	if o.failed != "" {
 		o.latency = max(o.latency, deadline)
 	}
-	o.inTime = o.inTime && o.latency <= deadline
+	o.inTime = o.complete && o.latency <= deadline
 	return o
 }
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -41,20 +41,22 @@
 	// 0 for failed queries.
 	InTime   float64 `json:"in_time_percent"`
 	Coverage float64 `json:"coverage_percent"`
-	// Extra is the number of leaf requests beyond one for each shard, in percent of those, over the answered queries.
+	// Extra is the number of leaf requests beyond one for each shard, in percent of those, over the complete answers.
 	Extra float64 `json:"extra_leaf_requests_percent"`
 }
 
 // LeafResult is what the leaves of a group of services counted: the most calls that one had at once when warm and when
 // cold, and the calls that came on top of what a leaf bears.
 type LeafResult struct {
-	Service     string `json:"service"`
-	Slots       int    `json:"slots"`
-	ColdSlots   int    `json:"cold_slots"`
-	Calls       int    `json:"calls"`
-	HighestWarm int    `json:"highest_warm"`
-	HighestCold int    `json:"highest_cold"`
-	Over        int    `json:"over_limit"`
+	Service   string `json:"service"`
+	Slots     int    `json:"slots"`
+	ColdSlots int    `json:"cold_slots"`
+	Calls     int    `json:"calls"`
+	// Stopped counts the calls that the leaves began and that were stopped by a timeout or a cancellation.
+	Stopped     int `json:"stopped"`
+	HighestWarm int `json:"highest_warm"`
+	HighestCold int `json:"highest_cold"`
+	Over        int `json:"over_limit"`
 }
 
 const (
@@ -81,8 +83,10 @@
 		s.inTime++
 	}
 	s.coverage += o.coverage
-	s.shards += o.shards
-	s.extraRequests += o.leafRequests - o.shards
+	if o.complete {
+		s.shards += o.shards
+		s.extraRequests += o.leafRequests - o.shards
+	}
 }
 
 func (s *sum) figures() Figures {
@@ -152,6 +156,7 @@
 		for i := range g.Count {
 			for _, id := range r.cluster.services[fmt.Sprintf("%s-%d", g.Name, i)] {
 				s := r.cluster.servers[id]
+				l.Stopped += s.Counters().Stopped
 				s.mu.Lock()
 				l.Calls += s.counts.calls
 				l.Over += s.counts.over
@@ -181,11 +186,11 @@
 			}
 		}
 	}
-	fmt.Fprintln(out, "\nservice\tpolicy\tslots\thighest warm\tcold slots\thighest cold\tcalls\tover limit\t")
+	fmt.Fprintln(out, "\nservice\tpolicy\tslots\thighest warm\tcold slots\thighest cold\tcalls\tstopped\tover limit\t")
 	for _, r := range results {
 		for _, l := range r.Leaves {
-			fmt.Fprintf(out, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t\n", l.Service, r.Policy, l.Slots, l.HighestWarm, l.ColdSlots,
-				l.HighestCold, l.Calls, l.Over)
+			fmt.Fprintf(out, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t\n", l.Service, r.Policy, l.Slots, l.HighestWarm, l.ColdSlots,
+				l.HighestCold, l.Calls, l.Stopped, l.Over)
 		}
 	}
 	return out.Flush()
