--- a/internal/httpapi/httpapi_test.go
+++ b/internal/httpapi/httpapi_test.go
@@ -202,7 +202,7 @@
 		"X-Request-Id: r1", "Content-Type: application/json; charset=utf-8")
 	qt.Assert(t, w.Code, qt.Equals, 200, qt.Commentf("%s", w.Body))
 	qt.Assert(t, w.Body.String(), qt.Equals, `{"request_id":"r1","service":"lookup","snapshot":"s1",`+
-		`"coverage":{"percent":66.66,"complete":false,"total":3,"missing":[1]},"results":[{"shard":0,"data":"YQ==","covered":1},`+
+		`"coverage":{"percent":66.66,"complete":false,"total":3,"covered":2,"missing":[1]},"results":[{"shard":0,"data":"YQ==","covered":1},`+
 		`{"shard":2,"data":"Yw==","covered":1}],"verdict":"completed","leaf_requests":0,"node":"e1"}`)
 	qt.Assert(t, w.Header().Get(HeaderRequestID), qt.Equals, "r1")
 	qt.Assert(t, node.executed[0], qt.DeepEquals, query.Request{Caller: "c", ID: "r1", Service: "lookup", Shards: []uint32{0, 1, 2},
