--- a/internal/proctest/verify.go
+++ b/internal/proctest/verify.go
@@ -64,8 +64,12 @@
 		begun, running := 0, 0
 		for vm, log := range c.Executions() {
 			begun += len(log)
+			boot := ""
+			if c.Leaves[vm].Running() {
+				boot = c.Leaves[vm].State().BootID
+			}
 			for _, e := range log {
-				if e.Outcome == leaf.Running && c.Leaves[vm].Running() {
+				if e.Outcome == leaf.Running && e.BootID == boot { // a killed leaf logs no ends
 					running++
 				}
 			}
