Stop a node only when a majority of the members is ready without it

Cause: in a rolling restart the next node stopped while the ones before it, just started, acknowledged no leases yet: with three nodes one exited with code 1, the others lost the majority for 3.06 s, and 3 of 157 queries were refused.

--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -336,6 +336,35 @@
 	})
 }
 
+// Guards against a rolling restart that leaves a service without an owner: restarted nodes acknowledge nothing at first,
+// so that a majority could be gone before the next node stops.
+func TestRollingRestart(t *testing.T) {
+	run(t, func(t *testing.T, c *tier) {
+		ctx, cancel := context.WithCancel(t.Context())
+		missing, watched := time.Duration(0), make(chan struct{})
+		go func() {
+			defer close(watched)
+			for sleep(ctx, 5*time.Millisecond) {
+				if !c.allOwned(t)() {
+					missing += 5 * time.Millisecond
+				}
+			}
+		}()
+		began := time.Now()
+		for i := range 7 {
+			id := fmt.Sprint("n", i)
+			qt.Assert(t, c.nodes[id].Shutdown(ctx), qt.IsNil)
+			c.kill(id)
+			c.start(id)
+		}
+		t.Logf("restarted in %v, without an owner for %v", time.Since(began), missing)
+		cancel()
+		<-watched
+		// Each of the 7 nodes moves its services once, in less than a heartbeat.
+		qt.Assert(t, missing < 7*HeartbeatInterval, qt.IsTrue, qt.Commentf("%v", missing))
+	})
+}
+
 // Guards against planned changes that leave a service without an owner for longer than a heartbeat, a takeover that lasts
 // longer than the lease time and two heartbeats, nodes that disagree on the owner, and a new owner that uses the slots
 // while its predecessor's calls may still run.
--- a/internal/member/owner.go
+++ b/internal/member/owner.go
@@ -275,35 +275,66 @@
 	return &peerpb.HandoverReply{Accepted: accepted}, nil
 }
 
-// Shutdown marks the node as stopping and hands its services over. Heartbeats go on until the context of Start ends.
+// Times of a shutdown.
+const (
+	// successorWait is how long a stopping node waits for the others to be ready: a node that was started shortly before
+	// is ready after settleTime, and its first heartbeats may be late.
+	successorWait = settleTime + LeaseTime
+	// lonelyWait is how long it waits while no other member stays: one that was just started may not be heard yet.
+	lonelyWait = time.Second
+)
+
+// Shutdown marks the node as stopping and hands its services over. It returns once this node owns nothing and is not
+// needed any more: a majority of the members is ready without it, so that leases go on being acknowledged when it is
+// gone. Heartbeats go on until the context of Start ends.
 func (n *Node) Shutdown(ctx context.Context) error {
 	n.stop.Store(true)
 	n.events.Record(event.Event{Kind: event.NodeStopping, VM: n.self.ID})
-	for {
+	for began := n.now(); ; {
 		n.kickRound()
-		left, successors := n.unfinished()
-		if left == 0 {
+		left, waited := n.unfinished(), n.now()-began
+		ready, staying := n.remaining()
+		switch {
+		case left == 0 && (ready >= n.view.Load().set.majority() || waited > successorWait):
 			return nil
-		}
-		if !successors {
+		case staying == 0 && waited > lonelyWait:
+			if left == 0 {
+				return nil
+			}
 			return errs.New("%d services have no member to be handed over to", left)
 		}
 		if !sleep(ctx, shutdownStep) {
-			return errs.New("%d services were not handed over in time", left)
+			return errs.New("%d services were not handed over in time; %d of %d other members are ready", left, ready, staying)
 		}
 	}
 }
 
-// unfinished returns the number of services still owned or on the move, and whether any member could take them.
-func (n *Node) unfinished() (left int, successors bool) {
-	v, now := n.view.Load(), n.now()
-	owned := n.ledger.owned(now)
+// unfinished returns the number of services still owned or on the move.
+func (n *Node) unfinished() int {
+	owned := n.ledger.owned(n.now())
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for service := range n.moving {
 		delete(owned, service)
 	}
-	return len(owned) + len(n.moving), len(n.moving) > 0 || len(n.eligible(v, now, now)) > 0
+	return len(owned) + len(n.moving)
+}
+
+// remaining returns how many other members are alive and do not stop, and how many of these may be given services.
+func (n *Node) remaining() (ready, staying int) {
+	v, now := n.view.Load(), n.now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, vm := range v.members {
+		if vm.ID == n.self.ID || !n.alive(vm.ID, now) || n.stopping(vm.ID) || vm.State != platform.StateLive {
+			continue
+		}
+		staying++
+		if n.peers[vm.ID].ready {
+			ready++
+		}
+	}
+	return ready, staying
 }
 
 // Status returns this node's view of the tier.
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -29,8 +29,12 @@
 	"cyclamenstream/internal/timeline"
 )
 
-// retainInterval is how often connections to nodes that are gone are closed.
-const retainInterval = 30 * time.Second
+const (
+	// retainInterval is how often connections to nodes that are gone are closed.
+	retainInterval = 30 * time.Second
+	// handoverShare of the shutdown grace may be spent on handing services over; the rest is left for running queries.
+	handoverShare = 0.5
+)
 
 // parts are the components that the lifecycle starts and stops.
 type parts struct {
@@ -141,7 +145,7 @@
 	l.stopping.Store(true)
 	defer l.cancel()
 	callersLeft := time.After(l.parts.Settings.LocateTTL.Duration)
-	errHandover := l.parts.Members.Shutdown(ctx)
+	errHandover := l.handOver(ctx)
 	select {
 	case <-callersLeft:
 	case <-ctx.Done():
@@ -154,6 +158,14 @@
 	return errors.Join(errHandover, errHTTP, errQueries, errLeaves)
 }
 
+// handOver hands the services over within a share of the time for the whole shutdown.
+func (l *lifecycle) handOver(ctx context.Context) error {
+	limit := time.Duration(handoverShare * float64(l.parts.Settings.ShutdownGrace.Duration))
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return l.parts.Members.Shutdown(ctx)
+}
+
 // stopPeers waits for the calls of peers to end, at most until ctx ends.
 func stopPeers(ctx context.Context, server *grpc.Server) {
 	done := make(chan struct{})
