Name holders only to nodes that cannot know them

Cause: each heartbeat reply listed the holders of all services, which a ready member knows from the owners' own claims. A node does not claim what it has acknowledged to another one.

--- a/internal/member/heartbeat.go
+++ b/internal/member/heartbeat.go
@@ -164,7 +164,26 @@
 	if len(p.releases) > 0 {
 		n.updateHints(now)
 	}
-	return n.pingReply(now, fresh, acknowledged), nil
+	reply := n.pingReply(now, fresh, acknowledged)
+	reply.Holders = n.holdersFor(request, acknowledged, now)
+	return reply, nil
+}
+
+// holdersFor returns the holders that the sender of a ping cannot know from the owners' own pings: all of them while it
+// is not ready or no member, else those of the claims that this node refuses. All holders in each reply would double the
+// traffic.
+func (n *Node) holdersFor(request *peerpb.PingRequest, acknowledged []string, now instant) (holders []*peerpb.Holder) {
+	all := !request.Ready || !n.view.Load().isMember(request.Vm)
+	refused := map[string]bool{}
+	for _, c := range request.Claims {
+		refused[c.Service] = !slices.Contains(acknowledged, c.Service)
+	}
+	for service, vm := range n.ledger.holders(now) {
+		if all || refused[service] {
+			holders = append(holders, &peerpb.Holder{Service: service, Vm: vm})
+		}
+	}
+	return holders
 }
 
 func (n *Node) notePing(request *peerpb.PingRequest, now instant) {
@@ -177,16 +196,12 @@
 
 func (n *Node) pingReply(now instant, fresh bool, acknowledged []string) *peerpb.PingReply {
 	stamp := n.clock.Stamp()
-	reply := &peerpb.PingReply{
+	return &peerpb.PingReply{
 		Vm: n.self.ID, BootId: n.boot, MemberSet: n.ledger.memberHash(), Acknowledged: acknowledged,
 		Documents: n.relay.Versions(), Quarantine: n.exportQuarantine(),
 		StampWallMs: stamp.WallMillis, StampCounter: stamp.Counter,
 		Stopping: n.stop.Load(), Fresh: fresh, Ready: n.ready(now, fresh),
 	}
-	for service, vm := range n.ledger.holders(now) {
-		reply.Holders = append(reply.Holders, &peerpb.Holder{Service: service, Vm: vm})
-	}
-	return reply
 }
 
 // HandleGetDocument serves a document to a peer.
--- a/internal/member/leases.go
+++ b/internal/member/leases.go
@@ -105,6 +105,10 @@
 // that it left within settleTime. If two owners share one of these sets, their majorities share a peer, which
 // acknowledges one holder at a time. If not, one of the two has a set that was replaced at least settleTime minus the
 // lease time ago, and no fresh peer acknowledges it any more.
+//
+// This also assumes that a VM that leaves the platform's list has stopped. If the list drops the majority of the members
+// while these run, cannot read the platform and are cut off from the rest, they keep their leases by the store-down rule
+// while the rest elects owners among itself.
 type ledger struct {
 	self identity
 
--- a/internal/member/owner.go
+++ b/internal/member/owner.go
@@ -30,7 +30,7 @@
 		return nil
 	}
 	v := n.view.Load()
-	owned := n.ledger.owned(now)
+	owned, held := n.ledger.owned(now), n.ledger.holders(now)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	candidates := n.eligible(v, now, now)
@@ -46,17 +46,20 @@
 		case owns || n.ledger.inherits(service, now):
 			delete(n.claims, service)
 			services = append(services, service)
-		case settled && found && preferred.ID == n.self.ID && !n.ownedElsewhere(v, service, now) && n.patient(service, now):
+		case settled && found && preferred.ID == n.self.ID && !n.ownedElsewhere(v, held, service, now) && n.patient(service, now):
 			services = append(services, service)
 		}
 	}
 	return services
 }
 
-// ownedElsewhere reports whether a majority of the members name another live node as holder. A claim would bind
-// peers that have just started, this node among them, against the owner and against its planned move. The caller holds
-// mu.
-func (n *Node) ownedElsewhere(v *view, service string, now instant) bool {
+// ownedElsewhere reports whether this node has acknowledged another holder, or a majority of the members name one that
+// is alive. A claim would bind peers that have just started, this node among them, against the owner and against its
+// planned move. The caller holds mu.
+func (n *Node) ownedElsewhere(v *view, held map[string]string, service string, now instant) bool {
+	if vm, known := held[service]; known && vm != n.self.ID {
+		return true
+	}
 	vm, votes := n.namedByPeers(service, now)
 	return vm != n.self.ID && votes >= v.set.majority() && n.alive(vm, now)
 }
@@ -78,15 +81,10 @@
 	return true
 }
 
-// contended reports whether peers have acknowledged different claimants. The caller holds mu.
+// contended reports whether live peers name another holder. The caller holds mu.
 func (n *Node) contended(service string, now instant) bool {
-	holders := map[string]bool{}
-	for id, p := range n.peers {
-		if vm := p.holders[service]; vm != "" && n.alive(id, now) {
-			holders[vm] = true
-		}
-	}
-	return len(holders) > 1
+	vm, _ := n.namedByPeers(service, now)
+	return vm != "" && vm != n.self.ID
 }
 
 // syncOwned compares the leases with what was last reported as owned.
