--- a/internal/member/bench_test.go
+++ b/internal/member/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -152,3 +153,38 @@
 		}
 	}
 }
+
+// BenchmarkFleet reports the decoding of a list of VMs and the view of it, and the bytes of the list for each VM.
+func BenchmarkFleet(b *testing.B) {
+	for _, vms := range []int{1000, 10000} {
+		fleet := platform.Fleet{Revision: 1}
+		for i := range vms {
+			id := fmt.Sprintf("vm-%08d", i)
+			vm := platform.VM{ID: id, Zone: fmt.Sprint("zone-", i%8), Region: fmt.Sprint("region-", i%4), Kind: platform.KindBackend,
+				State: platform.StateLive, Service: fmt.Sprint("service-", i%900), Address: "10.100.100.100:9000"}
+			if i%12 == 0 {
+				vm.Kind, vm.Service, vm.CallerAddress = platform.KindNode, "", "10.100.100.100:8080"
+			}
+			fleet.VMs = append(fleet.VMs, vm)
+		}
+		value, err := json.Marshal(fleet)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Run(fmt.Sprint("decode/", vms), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if err := json.Unmarshal(value, &platform.Fleet{}); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(value))/float64(vms), "B/VM")
+		})
+		b.Run(fmt.Sprint("view/", vms), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				newView(nil, &fleet)
+			}
+		})
+	}
+}
