Keep accepted changes when reads are corrupt and the store falls back

Cause: longer random runs (the default 100 series, run many times) showed four faults of the editor and its test. Before: (1) rapid faults [0 2 6 6 6]: after three corrupt reads the newest known document was written over the key, which held a newer valid one. (2) faults [7 0 0 8 0 5 7]: a document that the editor had only read was not held by the node, and not restored after the store fell back. (3) faults [1 1 1 0 9 4 1 4 2 1 5 9 5 6 4 5 7 9 1 0 1]: a write with a lost response was reported unavailable after the store had lost it, although a node may restore it. (4) A forwarded query whose deadline was noticed by the owner first had the code session_lost. The fake operators now follow the editors' rule to build on the newest document, and when the store fell back the test applies one more change before it checks, as the rule is that the next change restores. Conclusion: a corrupt value in the store stops changes until the key is deleted; the nodes then restore the newest.

--- a/internal/configstore/configstore_test.go
+++ b/internal/configstore/configstore_test.go
@@ -150,6 +150,7 @@
 	backup  platform.Entry
 	faults  []fault
 	others  int
+	newest  *config.Document
 	written []string // change identifiers of all documents ever written
 }
 
@@ -229,15 +230,21 @@
 	}
 	s.entry.Value, s.entry.Version = value, expected+1
 	if doc, err := Decode(value); err == nil {
+		if doc.Version > s.newest.Version {
+			s.newest = doc
+		}
 		s.written = append(s.written, doc.History[len(doc.History)-1].ID)
 	}
 	return s.entry.Version, nil
 }
 
-// other applies another operator's change.
+// other applies another operator's change, on the newest document as every editor does.
 func (s *fakeStore) other() {
 	s.others++
 	doc, _ := Decode(s.entry.Value)
+	if s.newest.Version > doc.Version {
+		doc = s.newest
+	}
 	value, _ := Encode(apply(doc, config.Change{ID: fmt.Sprint("other", s.others), Op: config.OpZoneOut, Name: "z9"}))
 	_, _ = s.swap(s.entry.Version, value)
 }
@@ -272,7 +279,7 @@
 	doc := apply(old, put("3", 3), config.Change{ID: "4", Op: config.OpZoneOut, Name: "z4"})
 	oldValue, _ := Encode(old)
 	value, _ := Encode(doc)
-	return &fakeStore{faults: faults, entry: platform.Entry{Value: value, Version: 4},
+	return &fakeStore{faults: faults, newest: doc, entry: platform.Entry{Value: value, Version: 4},
 		backup: platform.Entry{Value: oldValue, Version: 2}}, &holder{doc: doc}
 }
 
@@ -281,10 +288,7 @@
 // Guards against a wrong outcome, a change that is applied twice, and an accepted change that is lost, for each fault of
 // the store.
 func TestChangeUnderFaults(t *testing.T) {
-	forever := make([]fault, 100)
-	for i := range forever {
-		forever[i] = dropped
-	}
+	forever := slices.Repeat([]fault{dropped}, 100)
 	tests := []struct {
 		name   string
 		faults []fault
@@ -302,7 +306,8 @@
 		{"write takes effect late", []fault{none, late}, put("new", 5), operator.Accepted},
 		{"another change first", []fault{none, overtaken, none, overtaken}, put("new", 5), operator.Accepted},
 		{"corrupt read", []fault{corrupted}, put("new", 5), operator.Accepted},
-		{"corrupt value", []fault{corrupted, corrupted, corrupted, corrupted}, put("new", 5), operator.Accepted},
+		{"corrupt reads after a lost response", []fault{none, lost, corrupted, corrupted, corrupted, corrupted}, put("new", 5), operator.Accepted},
+		{"corrupt for ever", slices.Repeat([]fault{corrupted}, 100), put("new", 5), operator.Unavailable},
 		{"older value", []fault{older}, put("new", 5), operator.Accepted},
 		{"older value after a lost response", []fault{none, dropped, older}, put("new", 5), operator.Accepted},
 		{"identifier of another change", nil, put("4", 5), operator.Rejected},
@@ -310,7 +315,7 @@
 		{"invalid", nil, put("new", 50), operator.Rejected},
 		{"same item", nil, config.Change{ID: "new", Op: config.OpPutProfile, Name: "gate", Profile: profile(5),
 			CheckBase: true, BaseItemVersion: 1}, operator.Conflict},
-		{"store down", forever[:20], put("new", 5), operator.Unavailable},
+		{"store down", forever, put("new", 5), operator.Unavailable},
 		{"down after the write was sent", append([]fault{none}, forever...), put("new", 5), operator.Unresolved},
 		{"down after the write took effect", append([]fault{none, lost}, forever...), put("new", 5), operator.Unresolved},
 	}
@@ -318,9 +323,6 @@
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				store, docs := seeded(test.faults...)
-				if test.want == operator.Unavailable {
-					store.faults = forever
-				}
 				result := NewEditor(store, docs, yes, nil, event.Discard{}).Change(t.Context(), test.change)
 				qt.Assert(t, result.Outcome, qt.Equals, test.want, qt.Commentf("%+v", result))
 				time.Sleep(10 * time.Second) // late writes
@@ -400,7 +402,17 @@
 				// A resend with the same identifier resolves it.
 				result = editor.Change(t.Context(), put("new", 5))
 			}
-			err = checkStore(store, docs, result, slices.Contains(faults, older))
+			lostWrites := slices.Contains(faults, older)
+			if lostWrites {
+				// The store may have come back from an older state just before the end, or a late write may have met
+				// the version it expects, which the store used twice. The next change restores the newest document.
+				next := editor.Change(t.Context(), config.Change{ID: "next", Op: config.OpZoneOut, Name: "z5"})
+				if next.Outcome != operator.Accepted {
+					err = fmt.Errorf("next change: %+v", next)
+					return
+				}
+			}
+			err = checkStore(store, docs, result, lostWrites)
 			if result.Outcome == operator.Unresolved {
 				err = errors.New("a resend to a store without faults is unresolved")
 			}
--- a/internal/configstore/editor.go
+++ b/internal/configstore/editor.go
@@ -19,9 +19,6 @@
 	changeTimeout = 10 * time.Second
 	firstBackoff  = 20 * time.Millisecond
 	maxBackoff    = 500 * time.Millisecond
-	// corruptReads is the number of successive corrupt reads of one store version after which the newest known
-	// document is written over it. A single one may be a fault of the read.
-	corruptReads = 3
 )
 
 // Documents is what an Editor needs to know of the documents on the nodes. Package relay implements it.
@@ -59,9 +56,9 @@
 	unclear      bool
 	unclearStore uint64
 	unclearBase  uint64
-
-	corrupt      int
-	corruptStore uint64
+	// lostWrites is set once the store came back with an older state after an unclear write: a node may hold the
+	// written document and restore it.
+	lostWrites bool
 }
 
 // Change applies the change. Accepted and Rejected, Conflict and Unavailable are certain; every doubt is Unresolved.
@@ -99,6 +96,7 @@
 	if err != nil {
 		return operator.ChangeResult{}, err
 	}
+	r.lostWrites = r.lostWrites || r.unclear && entry.Version < r.unclearStore
 	if held := r.docs.Current(); held != nil && held.Version > doc.Version {
 		return operator.ChangeResult{}, r.restore(ctx, entry, held)
 	}
@@ -106,7 +104,7 @@
 		return operator.ChangeResult{}, errors.New("a peer holds a newer document than the store")
 	}
 	if record, found := Find(doc, r.change.ID); found {
-		return r.recorded(doc, record), nil
+		return r.recorded(record), nil
 	}
 	if err := r.settle(entry, doc); err != nil {
 		return operator.ChangeResult{Outcome: operator.Unresolved, Message: err.Error()}, nil
@@ -115,8 +113,7 @@
 }
 
 // recorded returns the result of a change whose identifier is in the history.
-func (r *attempt) recorded(doc *config.Document, record config.ChangeRecord) operator.ChangeResult {
-	r.docs.Adopt(doc)
+func (r *attempt) recorded(record config.ChangeRecord) operator.ChangeResult {
 	if item := Item(r.change); record.Item != item {
 		return operator.ChangeResult{Outcome: operator.Rejected,
 			Message: Invalid.New("change identifier %q of %s was used for %s", record.ID, item, record.Item).Error()}
@@ -126,7 +123,7 @@
 
 // settle decides what became of an unclear write whose change is not in the document's history.
 func (r *attempt) settle(entry platform.Entry, doc *config.Document) error {
-	if !r.unclear || entry.Version <= r.unclearStore {
+	if !r.unclear || r.lostWrites || entry.Version <= r.unclearStore {
 		return nil // Still possible: a repeated write expects the same store version, so only one of them can succeed.
 	}
 	if doc.Version > r.unclearBase+config.MaxHistory {
@@ -182,14 +179,15 @@
 	held := r.docs.Current()
 	if err == nil && (held == nil || held.Version <= doc.Version) {
 		if record, found := Find(doc, r.change.ID); found {
-			return r.recorded(doc, record)
+			return r.recorded(record)
 		}
 	}
 	return operator.ChangeResult{Outcome: operator.Unresolved, Message: cause.Error()}
 }
 
-// read returns the document in the store, an empty one if there is none. A value that is corrupt for several reads
-// counts as an empty document, over which the newest known one is restored.
+// read returns the document in the store, an empty one if there is none. A corrupt value is an error and is never
+// written over: it may be a newer document that was damaged on the way. Once the key is deleted, the newest known
+// document is restored.
 func (r *attempt) read(ctx context.Context) (platform.Entry, *config.Document, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -202,17 +200,9 @@
 	}
 	doc, err := Decode(entry.Value)
 	if err == nil {
-		r.corrupt = 0
-		return entry, doc, nil
-	}
-	if r.corruptStore != entry.Version {
-		r.corrupt, r.corruptStore = 0, entry.Version
-	}
-	r.corrupt++
-	if r.corrupt >= corruptReads && r.docs.Current() != nil {
-		return entry, &config.Document{}, nil
+		r.docs.Adopt(doc) // If the store loses it afterwards, it must be restored.
 	}
-	return entry, nil, err
+	return entry, doc, err
 }
 
 // restore writes the newest known document over an older one. It always returns an error: the caller reads again.
--- a/internal/peerrpc/client.go
+++ b/internal/peerrpc/client.go
@@ -16,9 +16,11 @@
 	"github.com/uber-go/tally/v4"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
 )
 
 // Client calls peers over one connection each. It implements member.Transport and is safe for concurrent use.
@@ -167,7 +169,7 @@
 	reply, err := peerpb.NewPeerClient(conn).Forward(ctx, request, grpc.PerRPCCredentials(&sendOnce{attempt: attempt}))
 	if err != nil {
 		code := verdict.CodeSessionLost
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || status.Code(err) == codes.DeadlineExceeded {
 			code = verdict.CodeDeadline
 		}
 		return query.Answer{}, verdict.Failf(attempt, code, err, "no answer from node %s", to.ID)
