--- a/internal/peerrpc/client.go
+++ b/internal/peerrpc/client.go
@@ -16,9 +16,11 @@
 	"github.com/uber-go/tally/v4"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
 )
 
 // The peer gets less time than is left here, so that an answer that it sends at its deadline arrives in time: two ways of
@@ -176,7 +178,7 @@
 	reply, err := peerpb.NewPeerClient(conn).Forward(ctx, request, grpc.PerRPCCredentials(&sendOnce{attempt: attempt}))
 	if err != nil {
 		code := verdict.CodeSessionLost
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || status.Code(err) == codes.DeadlineExceeded {
 			code = verdict.CodeDeadline
 		}
 		return query.Answer{}, verdict.Failf(attempt, code, err, "no answer from node %s", to.ID)
