Prove resends, the restart of all nodes and the lift of a quarantine with processes

Cause: three points of the promises had no process test: a request refused as not run is sent again and runs once, the configuration survives a restart of all nodes at once, operators list and lift a refused request. Before: covered by unit tests only.

--- a/internal/proctest/faults_test.go
+++ b/internal/proctest/faults_test.go
@@ -10,6 +10,7 @@
 
 	"cyclamenstream/api/config"
 	"cyclamenstream/api/verdict"
+	"cyclamenstream/internal/callerclient"
 	"cyclamenstream/internal/proctest"
 	"cyclamenstream/internal/standin/leaf"
 	standin "cyclamenstream/internal/standin/platform"
@@ -60,7 +61,7 @@
 }
 
 // Guards against a request that crashes every leaf that runs it when its caller sends it again and again: it is refused
-// on all nodes after the second leaf, and requests that ran beside it are not blamed.
+// on all nodes after the second leaf, requests that ran beside it are not blamed, and operators can list and lift it.
 func TestRequestThatCrashesLeaves(t *testing.T) {
 	const prefix = "crash"
 	c := begin(t, func(s *proctest.Spec) {
@@ -91,6 +92,24 @@
 	}
 	qt.Check(t, crashes, qt.Equals, 2)
 	qt.Check(t, s.Codes[string(verdict.CodeQuarantined)], qt.Equals, 0)
+
+	for _, l := range c.Leaves {
+		l.Faults(func(f *leaf.Faults) { f.CrashPrefix = "" })
+	}
+	var fingerprint string
+	for _, n := range c.RunningNodes() {
+		operators := callerclient.New(n.VM.CallerAddress)
+		entries, err := operators.Quarantine(context.Background())
+		operators.Close()
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, entries, qt.HasLen, 1, qt.Commentf("on %s", n.VM.ID))
+		fingerprint = entries[0].Fingerprint
+	}
+	c.AwaitVersion(c.Apply(config.Change{Op: config.OpLift, Name: fingerprint}), inForceAfter)
+	for _, n := range c.RunningNodes() {
+		lifted := proctest.Ask(context.Background(), n.VM.CallerAddress, last.Query, time.Second)
+		qt.Check(t, lifted.Complete(), qt.IsTrue, qt.Commentf("after the lift on %s: %s %s", n.VM.ID, lifted.Code, lifted.Message))
+	}
 }
 
 // Guards against a tail that stragglers set and against hedges and retries without a budget. 2% of the calls straggle,
--- a/internal/proctest/promise07_atmostonce_test.go
+++ b/internal/proctest/promise07_atmostonce_test.go
@@ -1,6 +1,7 @@
 package proctest_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -15,7 +16,7 @@
 
 // Guards promise 7, a request that is not idempotent runs at most once, against callers that send it again to other
 // nodes whatever the answer was, while store answers are lost, answers of leaves come too late and the owner is killed.
-// While the store is down such a request is refused with "not run".
+// While the store is down such a request is refused with "not run"; sent again afterwards it runs, and only once.
 func TestAtMostOnce(t *testing.T) {
 	c := begin(t, nil)
 	resent := load()
@@ -45,4 +46,17 @@
 	s = finish(t, c, down)
 	qt.Check(t, s.NotRun, qt.Equals, s.Requests)
 	qt.Check(t, s.Codes[string(verdict.CodeStoreDown)] > 0, qt.IsTrue)
+
+	c.Platform.Faults(func(f *standin.Faults) { f.Down = false })
+	time.Sleep(2 * time.Second)
+	attempts := down.Attempts()
+	for _, refused := range attempts[:min(len(attempts), 10)] {
+		for _, n := range c.RunningNodes()[:2] {
+			attempts = append(attempts, proctest.Ask(context.Background(), n.VM.CallerAddress, refused.Query, 2*time.Second))
+		}
+		first, second := attempts[len(attempts)-2], attempts[len(attempts)-1]
+		qt.Check(t, first.Complete(), qt.IsTrue, qt.Commentf("resend of a refused request: %s %s", first.Code, first.Message))
+		qt.Check(t, second.Code, qt.Equals, string(verdict.CodeDuplicate), qt.Commentf("resend of an answered request"))
+	}
+	c.VerifyAttempts(append(r.Attempts(), attempts...))
 }
--- a/internal/proctest/promise10_config_test.go
+++ b/internal/proctest/promise10_config_test.go
@@ -41,8 +41,8 @@
 }
 
 // Guards promise 10, an accepted configuration is in force everywhere within seconds and never reverts, against
-// concurrent operators, lost answers of the store, conflicts, a store that comes back with an older value, and a node
-// that starts while the store holds that value.
+// concurrent operators, lost answers of the store, conflicts, a store that comes back with an older value, a node that
+// starts while the store holds that value, and a restart of all nodes at once.
 func TestConfiguration(t *testing.T) {
 	const operators, changes = 3, 5
 	c := begin(t, nil)
@@ -83,4 +83,17 @@
 	qt.Check(t, next > last, qt.IsTrue, qt.Commentf("version %d follows %d", next, last))
 	t.Log("in force after", c.AwaitVersion(next, inForceAfter))
 	stop()
+
+	for _, n := range c.RunningNodes() {
+		n.Kill()
+	}
+	for _, n := range c.Nodes {
+		n.Restart()
+	}
+	c.AwaitServing()
+	for _, n := range c.Nodes {
+		status, err := n.Status()
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, status.ConfigVersion, qt.Equals, next, qt.Commentf("%s after all nodes were restarted at once", n.VM.ID))
+	}
 }
