--- a/internal/member/heartbeat.go
+++ b/internal/member/heartbeat.go
@@ -97,7 +97,7 @@
 	n.ledger.answered(now, from.ID, sent, reply.MemberSet == hash, reply.Fresh, reply.Acknowledged)
 	n.noteReply(from, sent, now, reply)
 	n.refreshView()
-	n.updateExcuses()
+	n.updateExemptions()
 	n.syncOwned(now)
 }
 
@@ -285,8 +285,8 @@
 	return before < watchers
 }
 
-// updateExcuses finds out in which time the members of a majority lack a confirmation.
-func (n *Node) updateExcuses() {
+// updateExemptions finds out in which time the members of a majority lack a confirmation.
+func (n *Node) updateExemptions() {
 	v := n.view.Load()
 	own := [2]uint64{v.configVersion, v.fleetRevision}
 	n.mu.Lock()
@@ -294,8 +294,8 @@
 	now := n.now()
 	heard := v.set.reached(n.heardTimes(v, now), max(1, now-heardLimit))
 	n.majority.Store(heard > 0)
-	for i := range n.excuses {
-		e := &excuse{until: heard + heardLimit}
+	for i := range n.exemptions {
+		e := &exemption{until: heard + heardLimit}
 		if heard == 0 {
 			e.until = 0
 		}
@@ -309,7 +309,7 @@
 				e.until = 0 // A change was accepted that this node does not hold yet.
 			}
 		}
-		n.excuses[i].Store(e)
+		n.exemptions[i].Store(e)
 	}
 }
 
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -69,8 +69,8 @@
 	holders   map[string]string
 }
 
-// excuse is the time in which this node may work with an unconfirmed document, as the peers lack a confirmation too.
-type excuse struct{ from, until instant }
+// exemption is the time in which this node may work with an unconfirmed document, as the peers lack a confirmation too.
+type exemption struct{ from, until instant }
 
 // Node is this node's part in the tier's membership. It implements cluster.Membership and cluster.Ownership and is
 // safe for concurrent use.
@@ -90,7 +90,7 @@
 	majority atomic.Bool                // as of the last heartbeat
 	// readySince is since when this node is ready, 0 if it is not. It is guarded by mu.
 	readySince instant
-	excuses    [2]atomic.Pointer[excuse]
+	exemptions [2]atomic.Pointer[exemption]
 	hints      atomic.Pointer[map[string]platform.VM]
 	stop       atomic.Bool
 	fresh      atomic.Bool // as last recorded in the time line
@@ -144,8 +144,8 @@
 	n.view.Store(newView(nil, nil, nil, 0))
 	n.basis.Store(&[2]instant{-2 * FreshLimit, -2 * FreshLimit})
 	n.hints.Store(&map[string]platform.VM{})
-	for i := range n.excuses {
-		n.excuses[i].Store(&excuse{})
+	for i := range n.exemptions {
+		n.exemptions[i].Store(&exemption{})
 	}
 	return n
 }
@@ -192,7 +192,7 @@
 	n.syncOwned(now)
 	n.refreshView()
 	n.updatePeers(now)
-	n.updateExcuses()
+	n.updateExemptions()
 	n.recordFresh()
 	n.updateHints(now)
 	n.rebalance(ctx, now)
@@ -273,7 +273,7 @@
 	if now-confirmed <= FreshLimit {
 		return true
 	}
-	e := n.excuses[document].Load()
+	e := n.exemptions[document].Load()
 	return e.from <= now && now < e.until
 }
 
--- a/internal/member/owner.go
+++ b/internal/member/owner.go
@@ -19,9 +19,9 @@
 	pauseUntil instant
 }
 
-// claimPatience is how long a claimant that is refused by some peers goes on before it pauses, so that claimants that
+// claimLimit is how long a claimant that is refused by some peers goes on before it pauses, so that claimants that
 // split the peers between them do not block each other for ever.
-const claimPatience = 2 * LeaseTime
+const claimLimit = 2 * LeaseTime
 
 // claimable returns the services that this node claims: those it owns, those handed over to it, and those for which it
 // is the preferred member.
@@ -46,7 +46,7 @@
 		case owns || n.ledger.inherits(service, now):
 			delete(n.claims, service)
 			services = append(services, service)
-		case settled && found && preferred.ID == n.self.ID && !n.ownedElsewhere(v, held, service, now) && n.patient(service, now):
+		case settled && found && preferred.ID == n.self.ID && !n.ownedElsewhere(v, held, service, now) && n.mayGoOnClaiming(service, now):
 			services = append(services, service)
 		}
 	}
@@ -64,8 +64,8 @@
 	return vm != n.self.ID && votes >= v.set.majority() && n.alive(vm, now)
 }
 
-// patient reports whether a claim on a service that is not owned goes on. The caller holds mu.
-func (n *Node) patient(service string, now instant) bool {
+// mayGoOnClaiming reports whether a claim on a service that is not owned goes on. The caller holds mu.
+func (n *Node) mayGoOnClaiming(service string, now instant) bool {
 	c := n.claims[service]
 	if c == nil {
 		c = &claimState{since: now}
@@ -74,7 +74,7 @@
 	if now < c.pauseUntil {
 		return false
 	}
-	if now-c.since > claimPatience && n.contended(service, now) {
+	if now-c.since > claimLimit && n.contended(service, now) {
 		c.since, c.pauseUntil = now, now+LeaseTime+time.Duration(rank(service, n.self.ID)%8)*HeartbeatInterval
 		return false
 	}
--- a/internal/proctest/faults_test.go
+++ b/internal/proctest/faults_test.go
@@ -37,8 +37,17 @@
 		}, func(c *proctest.Cluster) {
 			c.Platform.Faults(func(f *standin.Faults) { f.Hang = false })
 		}, time.Second},
-		{"a zone is unreachable", func(c *proctest.Cluster) {
-			c.Network.Partition([]string{"n1", "l1"}, []string{"n2", "n3", "l2", "l3", "platform"})
+		{"the owner's zone is unreachable", func(c *proctest.Cluster) {
+			owner := c.AwaitOwner(proctest.Service)
+			cut, rest := []string{}, []string{"platform"}
+			for _, vm := range append(c.Spec.Nodes, c.Spec.Leaves[0].VM, c.Spec.Leaves[1].VM, c.Spec.Leaves[2].VM) {
+				if vm.Zone == owner.VM.Zone {
+					cut = append(cut, vm.ID)
+				} else {
+					rest = append(rest, vm.ID)
+				}
+			}
+			c.Network.Partition(cut, rest)
 		}, func(c *proctest.Cluster) { c.Network.Heal() }, takeOver},
 		{"the owner's VM is lost", func(c *proctest.Cluster) { c.AwaitOwner(proctest.Service).Kill() },
 			func(*proctest.Cluster) {}, takeOver},
