--- a/internal/member/bench_test.go
+++ b/internal/member/bench_test.go
@@ -130,7 +130,7 @@
 					n.syncOwned(now)
 					n.refreshView()
 					n.updatePeers(now)
-					n.updateExcuses()
+					n.updateExemptions()
 					n.updateHints(now)
 				}
 			})
--- a/internal/member/leases_test.go
+++ b/internal/member/leases_test.go
@@ -75,7 +75,7 @@
 	n.confirmed = -time.Hour
 }
 
-// fresh follows the rule of the design page. A node is excused while the platform is down for all nodes and no node
+// fresh follows the rule of the design page. A node is exempt while the platform is down for all nodes and no node
 // holds a newer set.
 func (s *sim) fresh(n *simNode) bool {
 	if n.index < 0 {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -259,7 +259,7 @@
 	}
 	now := n.now()
 	for i, at := range n.basis.Load() {
-		if !n.confirmedOrExcused(i, at, now) {
+		if !n.confirmedOrExempt(i, at, now) {
 			return verdict.Refusef(verdict.CodeStale, "node %s has not confirmed its %s within %v",
 				n.self.ID, documentNames[i], FreshLimit)
 		}
@@ -269,7 +269,7 @@
 
 var documentNames = [2]string{"configuration", "list of VMs"}
 
-func (n *Node) confirmedOrExcused(document int, confirmed, now instant) bool {
+func (n *Node) confirmedOrExempt(document int, confirmed, now instant) bool {
 	if now-confirmed <= FreshLimit {
 		return true
 	}
