Give up a forward to an owner that is not heard any more

Cause: a VM in a zone that goes dark does not close its connections, so that queries forwarded to it waited for their deadline. An idempotent query is tried at the next owner, others are not. The watcher of the rolling restart's test reads the tier's nodes under their lock, which the race detector asked for.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -202,7 +203,44 @@
 	if owner.Self {
 		return t.Runner.Run(ctx, t.request, t.profile)
 	}
-	return t.Forwarder.Forward(ctx, owner.VM, t.request)
+	if t.request.NonIdempotent {
+		return t.Forwarder.Forward(ctx, owner.VM, t.request)
+	}
+	return t.forward(ctx, owner.VM)
+}
+
+// errOwnerLost ends a forward to an owner that is not heard any more.
+var errOwnerLost = errors.New("owner lost")
+
+// forward sends an idempotent request to its owner and gives up when the owner is not heard any more, so that the
+// request can be tried at the next one: a VM in a zone that went dark does not close its connections.
+func (t *route) forward(ctx context.Context, owner platform.VM) (query.Answer, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go t.watchOwner(ctx, owner, cancel)
+	answer, err := t.Forwarder.Forward(ctx, owner, t.request)
+	if err != nil && errors.Is(context.Cause(ctx), errOwnerLost) {
+		return answer, verdict.WithVerdict(verdict.MayHaveRun(), verdict.CodeSessionLost,
+			"node %s, which ran the query, is not heard any more", owner.ID)
+	}
+	return answer, err
+}
+
+// watchOwner cancels with errOwnerLost when the owner is a member that is not alive, and returns when ctx ends.
+func (t *route) watchOwner(ctx context.Context, owner platform.VM, cancel context.CancelCauseFunc) {
+	for {
+		changed := t.Members.Changed()
+		lost := func(m cluster.Member) bool { return m.VM.ID == owner.ID && !m.Alive }
+		if slices.ContainsFunc(t.Members.Members(), lost) {
+			cancel(errOwnerLost)
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 // repeatable reports whether the request may be tried again at the owner: after "not run" from a node that does not own
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -34,15 +34,22 @@
 	owned    chan struct{}
 	stopping string
 	dead     string
+	hanging  string            // forwards to this node end with their context
 	fail     func(i int) error // the error of the i-th try, counted from 0
 	tries    []string
 	last     query.Request
 }
 
 func (w *world) Current() *config.Document { return w.document }
-func (w *world) Changed() <-chan struct{}  { return w.changed }
-func (w *world) Self() platform.VM         { return vm("n0") }
+func (w *world) Changed() <-chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.changed
+}
+func (w *world) Self() platform.VM { return vm("n0") }
 func (w *world) Members() []cluster.Member {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	var all []cluster.Member
 	for _, id := range []string{"n0", "n1", "n2", "n3"} {
 		all = append(all, cluster.Member{VM: vm(id), Alive: id != w.dead, Stopping: id == w.stopping})
@@ -71,7 +78,12 @@
 	return w.try("n0", r)
 }
 
-func (w *world) Forward(_ context.Context, to platform.VM, r query.Request) (query.Answer, error) {
+func (w *world) Forward(ctx context.Context, to platform.VM, r query.Request) (query.Answer, error) {
+	if to.ID == w.hanging {
+		_, _ = w.try(to.ID, r)
+		<-ctx.Done()
+		return query.Answer{}, verdict.WithVerdict(verdict.MayHaveRun(), verdict.CodeDeadline, "no answer")
+	}
 	return w.try(to.ID, r)
 }
 
@@ -121,6 +133,16 @@
 			time.AfterFunc(500*ms, func() { change(w) })
 		}
 	}
+	hangsUntilLost := func(w *world) { // n1 does not answer and is not heard any more after 400 ms
+		w.hanging, w.owner = "n1", moves("n1", 400*ms, "n2")
+		time.AfterFunc(400*ms, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.dead = "n1"
+			close(w.changed)
+			w.changed = make(chan struct{})
+		})
+	}
 	lost, reset := mayHaveRun(verdict.CodeSessionLost), errors.New("reset")
 	once := query.Request{Service: "s", Profile: "once", Caller: "c", ID: "1"}
 	forwarded, none := query.Request{Service: "s", Forwarded: true}, query.Request{Service: "s"}
@@ -174,6 +196,8 @@
 			"n1 session_lost may-have-run", time.Second},
 		{"owner lost for good", none, 0, owner(owned("n1"), slices.Repeat([]error{lost}, 99)...),
 			"n1 n1 n1 n1 n1 n1 n1 n1 n1 session_lost may-have-run", time.Second},
+		{"owner not heard any more", none, 0, hangsUntilLost, "n1 n2", 420 * ms},
+		{"owner not heard any more, once", once, 0, hangsUntilLost, "n1 deadline_exceeded may-have-run", time.Second},
 		{"failed at the owner", none, 0, owner(owned("n1"), mayHaveRun(verdict.CodeCoverage)),
 			"n1 coverage_too_low may-have-run", 0},
 		{"forwarded to another node", forwarded, 0, owner(owned("n1")), "no_owner not-run", 300 * ms},
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -207,8 +208,11 @@
 
 // owner returns the only node that passes the ownership check; it fails the test for two.
 func (c *tier) owner(t *testing.T, service string) string {
+	c.mu.Lock()
+	nodes := maps.Clone(c.nodes)
+	c.mu.Unlock()
 	owner := ""
-	for id, n := range c.nodes {
+	for id, n := range nodes {
 		if n.CheckOwned(service) == nil {
 			qt.Assert(t, owner, qt.Equals, "", qt.Commentf("%s is owned by %s too", service, id))
 			owner = id
