Repeat a query at the next owner when its owner changes under it

Cause: when a service was handed over, shards of running queries that had no slot yet failed with no_owner. If other shards were answered and the profile sets no least coverage, the query returned a partial answer, although the next owner could run it whole.

Now an idempotent query with such a shard ends with no_owner while as much time is left as it has taken, and the entry node repeats it at the next owner. Later it returns what it has.

Conclusion: requests that must run at most once still end partially when the owner changes between their shards.

--- a/internal/fanout/pass.go
+++ b/internal/fanout/pass.go
@@ -152,12 +152,20 @@
 	slices.SortFunc(p.results, func(a, b query.ShardResult) int { return cmp.Compare(a.Shard, b.Shard) })
 	answer := query.Answer{RequestID: p.request.ID, Service: p.request.Service, Snapshot: p.snapshot.ID,
 		Coverage: p.coverage(), Results: p.results, Verdict: v, LeafRequests: uint32(p.sent.Load()), Node: p.Node}
-	if len(p.results) == 0 || answer.Coverage.Percent() < p.profile.LeastCoverage {
+	if len(p.results) == 0 || answer.Coverage.Percent() < p.profile.LeastCoverage || p.movable() {
 		return query.Answer{}, p.failure(v, answer.Coverage)
 	}
 	return answer, nil
 }
 
+// movable reports whether the query is to be repeated by the service's next owner in place of a partial answer: this
+// node has lost the service under the query, as in a planned move, and there is time for a repetition.
+func (p *pass) movable() bool {
+	return !p.request.NonIdempotent && p.timeToRestart() && slices.ContainsFunc(p.failures, func(o outcome) bool {
+		return verdict.CodeOf(o.err) == verdict.CodeNoOwner
+	})
+}
+
 // coverage counts over the asked shards of the pinned snapshot; results are in ascending order.
 func (p *pass) coverage() query.Coverage {
 	c := query.Coverage{Total: uint32(len(p.shards))}
