--- a/internal/member/owner.go
+++ b/internal/member/owner.go
@@ -278,8 +278,8 @@
 	// successorWait is how long a stopping node waits for the others to be ready: a node that was started shortly before
 	// is ready after settleTime, and its first heartbeats may be late.
 	successorWait = settleTime + LeaseTime
-	// lonelyWait is how long it waits while no other member stays: one that was just started may not be heard yet.
-	lonelyWait = time.Second
+	// noPeerWait is how long it waits while no other member stays: one that was just started may not be heard yet.
+	noPeerWait = time.Second
 )
 
 // Shutdown marks the node as stopping and hands its services over. It returns once this node owns nothing and is not
@@ -295,7 +295,7 @@
 		switch {
 		case left == 0 && (ready >= n.view.Load().set.majority() || waited > successorWait):
 			return nil
-		case staying == 0 && waited > lonelyWait:
+		case staying == 0 && waited > noPeerWait:
 			if left == 0 {
 				return nil
 			}
