Let a returning node acknowledge the owner before it claims

Cause: the test of the time without an owner failed in one of three runs in a row: a service whose preferred owner came back with its zone had no owner for 515 ms, limit 250 ms. Before: a returning node claimed in the very heartbeat in which it may acknowledge new claimants again, before the owner's heartbeat had arrived, and then refused the handover.

--- a/internal/member/leases.go
+++ b/internal/member/leases.go
@@ -168,6 +168,13 @@
 	})
 }
 
+// mayClaim reports whether this node acknowledges new claimants since at least delay.
+func (g *ledger) mayClaim(now, delay instant) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.settled(now - delay)
+}
+
 // settled reports whether settleTime has passed since the node changed its member set or started.
 func (g *ledger) settled(now instant) bool { return g.hasSet && now >= g.setAt+settleTime }
 
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -29,8 +29,9 @@
 	// for accepting changes: four heartbeats.
 	heardLimit  = time.Second
 	pingTimeout = time.Second
-	// claimDelay is how long a node must be ready before it claims services that it does not own: two heartbeats, in
-	// which it learns which others are ready. Nodes that start together would split the acknowledgements otherwise.
+	// claimDelay is how long a node must be ready, and acknowledge new claimants, before it claims services that it does
+	// not own: two heartbeats, in which it learns which others are ready and acknowledges the owners. Nodes that start
+	// together would split the acknowledgements otherwise, and a node that comes back would bind itself against the owner.
 	claimDelay   = 2 * HeartbeatInterval
 	shutdownStep = 50 * time.Millisecond
 	// rebalanceAfter is how long a higher-ranked member must be alive and ready before it is given a service.
--- a/internal/member/owner.go
+++ b/internal/member/owner.go
@@ -34,7 +34,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	candidates := n.eligible(v, now, now)
-	settled := n.readySince > 0 && now-n.readySince >= claimDelay
+	settled := n.readySince > 0 && now-n.readySince >= claimDelay && n.ledger.mayClaim(now, claimDelay)
 	var services []string
 	for _, service := range v.services {
 		if n.moving[service] {
