Hand a service over only to a member that has acknowledged its owner's claim

Cause: a member that had just become ready had not acknowledged the owner's claim, refused the handover, and acquired the service without the state of its slots, so that it waited and ramped up from cold. Ruled out: the names of holders in replies, which a ready node no longer gets for services whose claim was acknowledged.

--- a/internal/member/heartbeat.go
+++ b/internal/member/heartbeat.go
@@ -113,6 +113,10 @@
 	for _, h := range reply.Holders {
 		p.holders[h.Service] = h.Vm
 	}
+	p.acknowledged = map[string]bool{}
+	for _, service := range reply.Acknowledged {
+		p.acknowledged[service] = true
+	}
 	for _, d := range reply.Documents {
 		if i := documentIndex(d.Key); i >= 0 {
 			p.versions[i] = d.Version
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -27,8 +27,9 @@
 	// for accepting changes: four heartbeats.
 	heardLimit  = time.Second
 	pingTimeout = time.Second
-	// claimDelay is how long a node must be ready before it claims services that it does not own: two heartbeats, in
-	// which it learns which others are ready. Nodes that start together would split the acknowledgements otherwise.
+	// claimDelay is how long a node must be ready, and acknowledge new claimants, before it claims services that it does
+	// not own: two heartbeats, in which it learns which others are ready and acknowledges the owners. Nodes that start
+	// together would split the acknowledgements otherwise, and a node that comes back would bind itself against the owner.
 	claimDelay   = 2 * HeartbeatInterval
 	shutdownStep = 50 * time.Millisecond
 	// rebalanceAfter is how long a higher-ranked member must be alive and ready before it is given a service.
@@ -67,6 +68,8 @@
 	versions  [2]uint64
 	confirmed [2]instant
 	holders   map[string]string
+	// acknowledged holds the services for which the peer's newest reply acknowledged this node's claim.
+	acknowledged map[string]bool
 }
 
 // exemption is the time in which this node may work with an unconfirmed document, as the peers lack a confirmation too.
--- a/internal/member/owner.go
+++ b/internal/member/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"cyclamenstream/api/cluster"
@@ -34,7 +35,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	candidates := n.eligible(v, now, now)
-	settled := n.readySince > 0 && now-n.readySince >= claimDelay
+	settled := n.readySince > 0 && now-n.readySince >= claimDelay && n.ledger.mayClaim(now, claimDelay)
 	var services []string
 	for _, service := range v.services {
 		if n.moving[service] {
@@ -169,7 +170,7 @@
 	}
 	candidates := n.eligible(v, now, since)
 	for _, service := range sortedServices(owned) {
-		to, found := best(service, candidates)
+		to, found := best(service, n.successors(service, candidates))
 		if !found || to.ID == n.self.ID || n.moving[service] {
 			continue
 		}
@@ -178,6 +179,15 @@
 	}
 }
 
+// successors returns the candidates that may be handed the service: this node, and those that have acknowledged its
+// claim. One that has just started may not have; it would refuse the handover and acquire the service without the state
+// of its slots. The caller holds mu.
+func (n *Node) successors(service string, candidates []platform.VM) []platform.VM {
+	return slices.DeleteFunc(slices.Clone(candidates), func(vm platform.VM) bool {
+		return vm.ID != n.self.ID && !n.peers[vm.ID].acknowledged[service]
+	})
+}
+
 // move hands a service over: it stops the use of the slots, has the peers acknowledge the successor and passes the
 // state of the slots on. Until the successor has accepted, the release goes out with each heartbeat.
 func (n *Node) move(ctx context.Context, service string, to platform.VM) {
