Serve the waiting requests that a leaf can answer in time

Cause: the queue served the earliest deadline first and dropped a request only when less time was left than the service's median latency. While more waits than can be served, every slot went to a request with about the median left; a far or cold leaf cannot answer that in time, and its stopped calls do not advance the ramp, so that the service stayed short of slots.

Now each leaf has a moving mean and deviation of its latencies. A freed slot goes to the first waiting request with at least the mean plus two deviations left; a leaf without any call is expected to take three times the median. If no request has that time, the one with the most time left is served, so that a leaf that is slower than the deadlines allow still gets calls. The time of a stopped call counts when it is above the mean.

The random schedules check the order by deadline among the requests with enough time, that these come before all others, and the order by most time left among the others.

--- a/internal/slots/acquire.go
+++ b/internal/slots/acquire.go
@@ -156,11 +156,15 @@
 	return s.alone < alone
 }
 
-// fill gives the leaf's free slots to waiting requests. The best one may have to wait until the leaf is empty; the leaf
+// fill gives the leaf's free slots to waiting requests. While more wait than can be served, those at the head have little
+// time left; a far or cold leaf would not answer them in time. It therefore serves the first request that has the time
+// that the leaf needs. If there is none, it serves the one with the most time left: a leaf that is slower than the
+// deadlines allow must not stay without calls, and thus cold, for ever. The best request may have to wait until the leaf is empty; the leaf
 // is then reserved for it, and later requests get no slot there unless they precede it.
 func (s *Service) fill(l *leafState) {
+	now := s.opt.Now()
 	for s.started && l.usable() {
-		w := s.queue.next(func(w *Waiter) bool {
+		w := s.queue.next(now.Add(l.latency.need(s.opt.Typical())), func(w *Waiter) bool {
 			free := w.reserved == nil && (!w.Alone || l.reserved != nil || s.alone < s.maxAlone())
 			return (free || w == l.reserved) && w.mayUse(l.vm)
 		})
--- a/internal/slots/grant.go
+++ b/internal/slots/grant.go
@@ -115,10 +115,14 @@
 func (s *Service) adjust(l *leafState, outcome Outcome, latency time.Duration, now time.Time) {
 	switch outcome {
 	case Answered:
+		l.latency.record(latency)
 		if !now.Before(l.coldUntil) && l.ramp.answered(latency, s.opt.Typical(), s.opt.Limits) {
 			s.opt.Changed(l.vm, TurnedWarm)
 		}
 	case Ended:
+		if latency > l.latency.mean { // the call would have taken at least as long
+			l.latency.record(latency)
+		}
 		l.ramp.rose(latency, s.opt.Limits)
 	case Refused:
 		l.ramp.reduce(s.opt.ColdSlots)
--- a/internal/slots/leaf.go
+++ b/internal/slots/leaf.go
@@ -18,8 +18,9 @@
 	handedOver       bool // limit and boot identifier come from a handover
 	ramp             ramp
 	coldUntil        time.Time // answers before do not raise the limit
-	grants           []*Grant  // slots in use
-	reserved         *Waiter   // waits until the leaf is empty, to run alone
+	latency          latency
+	grants           []*Grant // slots in use
+	reserved         *Waiter  // waits until the leaf is empty, to run alone
 	runsAlone        bool
 }
 
--- a/internal/slots/queue.go
+++ b/internal/slots/queue.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"slices"
+	"time"
 
 	"cyclamenstream/api/config"
 )
@@ -71,12 +72,23 @@
 }
 
 // head returns the first waiter, nil if there is none.
-func (q *queue) head() *Waiter { return q.next(func(*Waiter) bool { return true }) }
+func (q *queue) head() *Waiter {
+	return q.next(time.Time{}, func(*Waiter) bool { return true })
+}
 
-// next returns the first waiter that matches, by priority and then deadline, or nil.
-func (q *queue) next(match func(*Waiter) bool) *Waiter {
-	for p := len(q.classes) - 1; p >= 0; p-- {
-		for _, w := range q.classes[p] {
+// next returns the first waiter that matches, by priority and then deadline, of those with a deadline from the given
+// time on. If none of these matches, it returns the one with the latest deadline of the highest priority, or nil.
+func (q *queue) next(from time.Time, match func(*Waiter) bool) *Waiter {
+	for _, class := range slices.Backward(q.classes[:]) {
+		start, _ := slices.BinarySearchFunc(class, from, func(w *Waiter, t time.Time) int { return w.Deadline.Compare(t) })
+		for _, w := range class[start:] {
+			if match(w) {
+				return w
+			}
+		}
+	}
+	for _, class := range slices.Backward(q.classes[:]) {
+		for _, w := range slices.Backward(class) {
 			if match(w) {
 				return w
 			}
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -376,6 +376,7 @@
 
 func (s *Service) turnCold(l *leafState, now time.Time) {
 	l.ramp.restart(s.opt.ColdSlots)
+	l.latency = latency{}
 	l.coldUntil = now.Add(s.opt.ColdTime)
 	s.opt.Changed(l.vm, TurnedCold)
 }
