Raise a cold leaf's limit late unless its latency shows that it is warm

Cause: after the cold time, eight answers raised the limit above cold_slots. When all leaves are cold their latencies look normal, and a leaf that is cold for longer than the cold time and eight answers got a second call and crashed, again and again.

Now the first step above cold_slots needs 32 answers, unless the leaf's mean latency has come down to 65% of its highest one since it turned cold, or is at most 1.5 times the mean that it had when it was warm; then eight are enough. Answers above three times the median count as before, so that 64 of them raise the limit of any leaf and none is kept cold for ever.

--- a/internal/slots/grant.go
+++ b/internal/slots/grant.go
@@ -116,7 +116,7 @@
 	switch outcome {
 	case Answered:
 		l.latency.record(latency)
-		if !now.Before(l.coldUntil) && l.ramp.answered(latency, s.opt.Typical(), s.opt.Limits) {
+		if !now.Before(l.coldUntil) && l.ramp.answered(latency, s.opt.Typical(), l.latency.settled(), s.opt.Limits) {
 			s.opt.Changed(l.vm, TurnedWarm)
 		}
 	case Ended:
--- a/internal/slots/latency.go
+++ b/internal/slots/latency.go
@@ -8,22 +8,35 @@
 	meanGain, deviationGain = 8, 4
 	// needDeviations times the mean deviation is added to the mean latency for the time that most calls need.
 	needDeviations = 2
+	// settledPercent of the highest mean shows that a leaf is warm. Single stragglers do not cause such a fall; a leaf that
+	// is three times slower while it is cold falls to 57% with 16 ms of round trip and 10 ms of service time.
+	settledPercent = 65
+	// warmPercent of the mean when the leaf was warm still counts as warm.
+	warmPercent = 150
 )
 
 // latency is a moving estimate of the time that calls to one leaf take, with the way there and back.
 type latency struct {
-	mean, deviation time.Duration // 0 without any call
+	mean, deviation time.Duration // 0 without any call since the leaf turned cold
+	highest         time.Duration // highest mean since then
+	warm            time.Duration // mean when the leaf was last warm; 0 if unknown
 }
 
 // record takes in the time of one call.
 func (e *latency) record(took time.Duration) {
 	if e.mean == 0 {
-		e.mean, e.deviation = took, took/2
+		e.mean, e.deviation, e.highest = took, took/2, took
 		return
 	}
 	off := took - e.mean
 	e.mean += off / meanGain
 	e.deviation += (off.Abs() - e.deviation) / deviationGain
+	e.highest = max(e.highest, e.mean)
+}
+
+// settled reports whether the mean has come down since the leaf turned cold, or is about that of earlier warm times.
+func (e *latency) settled() bool {
+	return e.mean <= e.highest*settledPercent/100 || e.mean <= e.warm*warmPercent/100
 }
 
 // need returns the time that most calls to the leaf take. A leaf without any is expected to take as long as still
--- a/internal/slots/ramp.go
+++ b/internal/slots/ramp.go
@@ -10,6 +10,9 @@
 	// normalWeight is how much more an answer at normal latency counts than a slow one. A leaf that is always slower
 	// than the others therefore ramps up too, but eight times slower.
 	normalWeight = 8
+	// unsettledWeight counts in the first step until the leaf's latency has settled: 32 answers. A second call on a leaf
+	// that is still cold may crash it, and cold latencies look normal when all leaves are cold.
+	unsettledWeight = 2
 	// riseFactor times the leaf's mean latency in the step before is an abnormal rise.
 	riseFactor = 3
 	// riseAnswers is the number of abnormal answers in one step that reduces the limit: single stragglers do not.
@@ -32,8 +35,9 @@
 // reduce takes one slot away, down to cold.
 func (r *ramp) reduce(cold int) { *r = ramp{limit: max(r.limit-1, cold), before: r.before} }
 
-// answered counts a successful answer and reports whether the limit has reached limits.Slots with it.
-func (r *ramp) answered(latency, typical time.Duration, limits Limits) bool {
+// answered counts a successful answer and reports whether the limit has reached limits.Slots with it. Settled says that
+// the leaf's latency is that of a warm leaf.
+func (r *ramp) answered(latency, typical time.Duration, settled bool, limits Limits) bool {
 	if r.limit >= limits.Slots {
 		return false
 	}
@@ -42,11 +46,7 @@
 	}
 	r.answers++
 	r.sum += latency
-	if typical > 0 && latency > normalFactor*typical {
-		r.progress++
-	} else {
-		r.progress += normalWeight
-	}
+	r.progress += r.weight(latency, typical, settled, limits)
 	if r.progress < stepAnswers*normalWeight {
 		return false
 	}
@@ -54,6 +54,17 @@
 	return r.limit >= limits.Slots
 }
 
+// weight returns how much an answer counts.
+func (r *ramp) weight(latency, typical time.Duration, settled bool, limits Limits) int {
+	switch {
+	case typical > 0 && latency > normalFactor*typical:
+		return 1
+	case r.limit <= limits.ColdSlots && !settled:
+		return unsettledWeight
+	}
+	return normalWeight
+}
+
 // rose reports whether the latency of a ramping leaf has risen abnormally, and reduces the limit when that repeats.
 func (r *ramp) rose(latency time.Duration, limits Limits) bool {
 	if r.limit >= limits.Slots || r.before == 0 || latency <= riseFactor*r.before {
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -375,8 +375,11 @@
 }
 
 func (s *Service) turnCold(l *leafState, now time.Time) {
+	if l.ramp.limit >= s.opt.Slots {
+		l.latency.warm = l.latency.mean
+	}
 	l.ramp.restart(s.opt.ColdSlots)
-	l.latency = latency{}
+	l.latency = latency{warm: l.latency.warm}
 	l.coldUntil = now.Add(s.opt.ColdTime)
 	s.opt.Changed(l.vm, TurnedCold)
 }
