Choose the leaf by its latency and load instead of its free slots

Cause: the leaf with the most free slots was chosen, and the zone only broke ties, so that two of three calls crossed a region while the near leaf had slots to spare.

Now the cost of a leaf is its mean latency, which has the round trip in it, up to doubled by the share of its slots in use. Each second without a call divides the cost further (by 2 after one, by 3 after two), so that a leaf that was slow for a time, or is cold, gets calls again when the others suffice.

TestChoice failed on the rule before (2 of 6 cases). The random schedules check for the least cost, and among equal ones for the most free slots.

--- a/internal/slots/acquire.go
+++ b/internal/slots/acquire.go
@@ -95,20 +95,23 @@
 	return true
 }
 
-// best returns the leaf with the most free slots, then the fewest calls in flight, then in this node's zone; nil if no
-// slot is free. A request that runs alone prefers the leaf with the fewest calls.
+// best returns the leaf with the least cost, then the most free slots, then the fewest calls in flight, then in this
+// node's zone; nil if no slot is free. A request that runs alone prefers the leaf with the fewest calls.
 func (s *Service) best(r *Request) *leafState {
 	if !s.started || (r.Alone && s.alone >= s.maxAlone()) {
 		return nil
 	}
+	now, typical := s.opt.Now(), s.opt.Typical()
 	var best *leafState
+	var least time.Duration
 	for _, replica := range r.Replicas() {
 		l := s.leaves[replica.VM]
 		if l == nil || !l.usable() || l.reserved != nil && !r.precedes(&l.reserved.Request) || slices.Contains(r.Exclude, l.vm) {
 			continue
 		}
-		if best == nil || s.better(l, best, r.Alone) {
-			best = l
+		cost := l.cost(now, typical)
+		if best == nil || !r.Alone && cost < least || (r.Alone || cost == least) && s.better(l, best, r.Alone) {
+			best, least = l, cost
 		}
 	}
 	return best
@@ -229,5 +232,6 @@
 		s.alone++
 	}
 	l.add(g)
+	l.usedAt = s.opt.Now()
 	return g
 }
--- a/internal/slots/leaf.go
+++ b/internal/slots/leaf.go
@@ -19,8 +19,9 @@
 	ramp             ramp
 	coldUntil        time.Time // answers before do not raise the limit
 	latency          latency
-	grants           []*Grant // slots in use
-	reserved         *Waiter  // waits until the leaf is empty, to run alone
+	usedAt           time.Time // of the last grant
+	grants           []*Grant  // slots in use
+	reserved         *Waiter   // waits until the leaf is empty, to run alone
 	runsAlone        bool
 }
 
@@ -45,6 +46,23 @@
 	return l.connected && !l.draining && !l.runsAlone && l.free() > 0
 }
 
+// idleTime without a call halves a leaf's cost. A leaf that was slow for a time is tried again, and a cold one gets some
+// calls, even when the other leaves suffice.
+const idleTime = time.Second
+
+// cost ranks the leaf among those with a free slot: its mean latency, up to doubled by the share of its slots in use.
+// Latency has the round trip in it, so that near leaves are preferred while they have slots to spare.
+func (l *leafState) cost(now time.Time, typical time.Duration) time.Duration {
+	mean := l.latency.mean
+	if mean == 0 {
+		mean = normalFactor * typical
+	}
+	if len(l.grants) > 0 {
+		return mean + mean*time.Duration(len(l.grants))/time.Duration(l.ramp.limit)
+	}
+	return time.Duration(float64(mean) / (1 + now.Sub(l.usedAt).Seconds()/idleTime.Seconds()))
+}
+
 func (l *leafState) busyFor(now time.Time) []time.Duration {
 	var busy []time.Duration
 	for _, g := range l.grants {
--- a/internal/slots/slots_test.go
+++ b/internal/slots/slots_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -163,7 +164,7 @@
 		Alone:     rapid.IntRange(0, 4).Draw(t, "alone") == 0,
 	}
 	w := &modelWaiter{request: r}
-	best := m.mostFree(replicas)
+	least := m.leastCost(replicas)
 	g, waiter, err := m.service.Acquire(r, func(g *Grant, err error) { m.delivered(w, g, err) })
 	switch {
 	case waiter != nil && !waiter.done:
@@ -171,23 +172,32 @@
 		m.waiting = append(m.waiting, w)
 	case g != nil:
 		m.granted(g)
-		if !r.Alone && m.service.alone == 0 && g.leaf.free()+1 < best {
-			t.Fatalf("%s had %d free slots, another leaf %d", g.VM(), g.leaf.free()+1, best)
+		if !r.Alone && m.service.alone == 0 && !slices.Contains(least, g.VM()) {
+			t.Fatalf("%s was chosen, the least cost was that of %v", g.VM(), least)
 		}
 	case err == nil && waiter == nil:
 		t.Fatal("neither a grant, a waiter nor an error")
 	}
 }
 
-// mostFree returns the most free slots of any leaf that takes work.
-func (m *model) mostFree(replicas []leaf.Replica) int {
-	most := 0
+// leastCost returns the leaves with the least cost, and of these those with the most free slots, of those that take work.
+func (m *model) leastCost(replicas []leaf.Replica) (vms []string) {
+	least, most := time.Duration(math.MaxInt64), 0
 	for _, l := range m.leaves {
-		if inUse, limit := m.service.LeafStats(l.vm); l.connected && !l.draining && slices.Contains(replicas, leaf.Replica{VM: l.vm}) {
-			most = max(most, limit-inUse)
+		inUse, limit := m.service.LeafStats(l.vm)
+		if !l.connected || l.draining || inUse >= limit || !slices.Contains(replicas, leaf.Replica{VM: l.vm}) {
+			continue
 		}
+		cost := m.service.leaves[l.vm].cost(m.now, m.service.opt.Typical())
+		if cost > least || cost == least && limit-inUse < most {
+			continue
+		}
+		if cost < least || limit-inUse > most {
+			vms = nil
+		}
+		least, most, vms = cost, limit-inUse, append(vms, l.vm)
 	}
-	return most
+	return vms
 }
 
 func (m *model) delivered(w *modelWaiter, g *Grant, err error) {
@@ -662,3 +672,43 @@
 		})
 	}
 }
+
+// Guards against calls that cross regions while a near leaf has slots to spare, a near leaf that gets all calls up to its
+// limit, and a leaf that is never tried again after it was slow.
+func TestChoice(t *testing.T) {
+	const ms = time.Millisecond
+	tests := []struct {
+		name      string
+		near, far time.Duration // mean latencies; 0 for a leaf without calls
+		inUse     int           // calls in flight on the near leaf
+		idle      time.Duration // since the last use of the far leaf
+		want      string
+	}{
+		{"near leaf in use", 10 * ms, 26 * ms, 2, 0, "near"},
+		{"near leaf nearly full", 10 * ms, 16 * ms, 2, 0, "far"},
+		{"same latency", 10 * ms, 10 * ms, 1, 0, "far"},
+		{"far leaf not used for long", 10 * ms, 100 * ms, 1, 7 * time.Second, "far"},
+		{"far leaf not used for a while", 10 * ms, 100 * ms, 1, 4 * time.Second, "near"},
+		{"leaf without calls", 10 * ms, 0, 0, 0, "near"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			s := NewService(testOptions(&now, 8))
+			s.Open(now, &cluster.Handover{Leaves: []cluster.LeafHandover{
+				{VM: "near", BootID: "b", Limit: 3}, {VM: "far", BootID: "b", Limit: 3}}})
+			s.Connect("near", "z", "b", nil)
+			s.Connect("far", "other", "b", nil)
+			s.leaves["near"].latency.record(test.near)
+			s.leaves["far"].latency.record(test.far)
+			s.leaves["near"].usedAt, s.leaves["far"].usedAt = now, now.Add(-test.idle)
+			for range test.inUse {
+				s.grant(s.leaves["near"], false)
+			}
+			g, _, err := s.Acquire(Request{Replicas: func() []leaf.Replica { return []leaf.Replica{{VM: "far"}, {VM: "near"}} },
+				Deadline: now.Add(time.Second)}, nil)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, g.VM(), qt.Equals, test.want)
+		})
+	}
+}
