--- a/internal/slots/acquire.go
+++ b/internal/slots/acquire.go
@@ -95,20 +95,23 @@
 	return true
 }
 
-// best returns the leaf with the most free slots, then the fewest calls in flight, then in this node's zone; nil if no
-// slot is free. A request that runs alone prefers the leaf with the fewest calls.
+// best returns the leaf with the least cost, then the most free slots, then the fewest calls in flight, then in this
+// node's zone; nil if no slot is free. A request that runs alone prefers the leaf with the fewest calls.
 func (s *Service) best(r *Request) *leafState {
 	if !s.started || (r.Alone && s.alone >= s.maxAlone()) {
 		return nil
 	}
+	now, typical := s.opt.Now(), s.opt.Typical()
 	var best *leafState
+	var least time.Duration
 	for _, replica := range r.Replicas() {
 		l := s.leaves[replica.VM]
 		if l == nil || !l.usable() || l.reserved != nil && !r.precedes(&l.reserved.Request) || slices.Contains(r.Exclude, l.vm) {
 			continue
 		}
-		if best == nil || s.better(l, best, r.Alone) {
-			best = l
+		cost := l.cost(now, typical)
+		if best == nil || !r.Alone && cost < least || (r.Alone || cost == least) && s.better(l, best, r.Alone) {
+			best, least = l, cost
 		}
 	}
 	return best
@@ -156,11 +159,15 @@
 	return s.alone < alone
 }
 
-// fill gives the leaf's free slots to waiting requests. The best one may have to wait until the leaf is empty; the leaf
+// fill gives the leaf's free slots to waiting requests. While more wait than can be served, those at the head have little
+// time left; a far or cold leaf would not answer them in time. It therefore serves the first request that has the time
+// that the leaf needs. If there is none, it serves the one with the most time left: a leaf that is slower than the
+// deadlines allow must not stay without calls, and thus cold, for ever. The best request may have to wait until the leaf is empty; the leaf
 // is then reserved for it, and later requests get no slot there unless they precede it.
 func (s *Service) fill(l *leafState) {
+	now := s.opt.Now()
 	for s.started && l.usable() {
-		w := s.queue.next(func(w *Waiter) bool {
+		w := s.queue.next(now.Add(l.latency.need(s.opt.Typical())), func(w *Waiter) bool {
 			free := w.reserved == nil && (!w.Alone || l.reserved != nil || s.alone < s.maxAlone())
 			return (free || w == l.reserved) && w.mayUse(l.vm)
 		})
@@ -225,5 +232,6 @@
 		s.alone++
 	}
 	l.add(g)
+	l.usedAt = s.opt.Now()
 	return g
 }
