--- a/internal/proctest/promise06_notrun_test.go
+++ b/internal/proctest/promise06_notrun_test.go
@@ -11,7 +11,7 @@
 )
 
 // Guards promise 6, a correct "not run", against answers lost on each hop: connections to leaves and between nodes that
-// are cut or end in the middle of a message, leaves that refuse, and an owner that is killed or paused.
+// are cut or end in the middle of a message, at many points of a send, leaves that refuse, and an owner that is killed or paused.
 func TestNotRun(t *testing.T) {
 	c := begin(t, nil)
 	r := c.StartLoad(load())
@@ -35,6 +35,13 @@
 		time.Sleep(step)
 		c.Network.Heal()
 	}
+	// Cuts after each power of two of bytes fall into the start of a connection, headers, payloads and answers.
+	for end := int64(16); end <= 16384; end *= 2 {
+		c.Network.Set(proctest.Any, "l1", proctest.Rule{CloseAfter: end})
+		c.Network.Set(proctest.Any, "n1", proctest.Rule{CloseAfter: end})
+		time.Sleep(step)
+		c.Network.Heal()
+	}
 	owner := c.AwaitOwner(proctest.Service)
 	owner.Pause()
 	time.Sleep(3 * time.Second)
--- a/internal/slots/slots_test.go
+++ b/internal/slots/slots_test.go
@@ -712,3 +712,22 @@
 		})
 	}
 }
+
+// Guards against a leaf that stays reserved for a request that was dropped.
+func TestReservationEnds(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := NewService(testOptions(&now, 0))
+	s.Open(now, &cluster.Handover{Leaves: []cluster.LeafHandover{{VM: "a", BootID: "boot", Limit: 2}}})
+	s.Connect("a", "z", "boot", nil)
+	for _, r := range []Request{{}, {Alone: true}, {}} { // the first one is served at once
+		r.Replicas = func() []leaf.Replica { return []leaf.Replica{{VM: "a"}} }
+		r.Deadline = now.Add(10 * time.Millisecond)
+		if !r.Alone {
+			r.Deadline = now.Add(time.Second)
+		}
+		_, _, _ = s.Acquire(r, func(*Grant, error) {})
+	}
+	now = now.Add(6 * time.Millisecond) // too late for the one that must run alone
+	s.Poll()
+	qt.Assert(t, s.Stats(), qt.Equals, Stats{InUse: 2, Limit: 2, Connected: 1})
+}
