Test that a reservation ends with its request

Cause: the property test finds a leaf that stays reserved for a dropped request in about one of three runs only.

Before: the fault could come back unseen. After: a directed test covers it. It fails when the free slots are not given out after a late request was dropped (one slot in use instead of two). The session test that loses all sessions twice is merged into the one whose calls go on after the loss, which is the harder case; it fails when a lost call frees its slot at once.

--- a/internal/leafset/fake_test.go
+++ b/internal/leafset/fake_test.go
@@ -36,7 +36,7 @@
 
 	mu        sync.Mutex
 	boot      int
-	running   map[*fakeCall]bool
+	running   map[*backend.Call]bool
 	sessions  []*fakeSession
 	answers   int       // since the last session or boot identifier
 	unknownTo time.Time // until then the owner may not know of the present boot identifier
@@ -53,11 +53,6 @@
 	overload             []string
 }
 
-type fakeCall struct {
-	id   string
-	stop chan struct{}
-}
-
 func (l *fakeLeaf) change(f func(*fakeLeaf)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -67,7 +62,7 @@
 func (l *fakeLeaf) limit() int     { return min(3, 1+l.answers/stepAnswers) }
 func (l *fakeLeaf) bootID() string { return fmt.Sprint(l.vm.ID, "/", l.boot) }
 
-func (l *fakeLeaf) arrive(c *fakeCall) (work, stopTime time.Duration, ok bool) {
+func (l *fakeLeaf) arrive(c *backend.Call) (work, stopTime time.Duration, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.seen.arrived++
@@ -77,7 +72,7 @@
 	l.running[c] = true
 	l.seen.most = max(l.seen.most, len(l.running))
 	if n := len(l.running); n > l.limit() && time.Now().After(l.unknownTo) {
-		l.seen.overload = append(l.seen.overload, fmt.Sprintf("%s runs %d at limit %d", c.id, n, l.limit()))
+		l.seen.overload = append(l.seen.overload, fmt.Sprintf("%s runs %d at limit %d", c.ID, n, l.limit()))
 	}
 	return l.work, l.stopTime, true
 }
@@ -93,7 +88,7 @@
 	defer l.mu.Unlock()
 	if restart {
 		l.boot++
-		l.running = map[*fakeCall]bool{}
+		l.running = map[*backend.Call]bool{}
 	}
 	for _, s := range l.sessions {
 		_ = s.Close()
@@ -136,9 +131,8 @@
 	}
 	time.Sleep(s.leaf.sendDelay)
 	call.Attempt.Begin()
-	c := &fakeCall{id: call.ID, stop: make(chan struct{})}
-	ended := make(chan error, 1)
-	go s.run(c, call, ended)
+	ended, stop := make(chan error, 1), make(chan struct{})
+	go s.run(&call, stop, ended)
 	cancelled := ctx.Done()
 	for {
 		select {
@@ -146,7 +140,7 @@
 			return backend.Reply{}, backend.ErrSessionLost
 		case <-cancelled:
 			cancelled = nil
-			time.AfterFunc(oneWay, func() { close(c.stop) })
+			time.AfterFunc(oneWay, func() { close(stop) })
 		case err := <-ended:
 			if errors.Is(err, backend.ErrSnapshotGone) {
 				call.Attempt.Refused()
@@ -163,7 +157,7 @@
 }
 
 // run is the leaf's part of a call; it goes on when the session is lost.
-func (s *fakeSession) run(c *fakeCall, call backend.Call, ended chan<- error) {
+func (s *fakeSession) run(c *backend.Call, stop <-chan struct{}, ended chan<- error) {
 	time.Sleep(oneWay)
 	work, stopTime, ok := s.leaf.arrive(c)
 	if !ok {
@@ -174,9 +168,9 @@
 	var err error
 	select {
 	case <-time.After(work):
-	case <-time.After(call.Timeout):
+	case <-time.After(c.Timeout):
 		err = backend.ErrStopped
-	case <-c.stop:
+	case <-stop:
 		time.Sleep(stopTime)
 		err = backend.ErrStopped
 	}
@@ -213,7 +207,7 @@
 	for i := range leaves {
 		id := fmt.Sprint("leaf", i)
 		vm := platform.VM{ID: id, Address: id, Service: "svc"}
-		w.leaves = append(w.leaves, &fakeLeaf{vm: vm, running: map[*fakeCall]bool{}, work: serveTime})
+		w.leaves = append(w.leaves, &fakeLeaf{vm: vm, running: map[*backend.Call]bool{}, work: serveTime})
 	}
 	w.set = New(Deps{Dialer: w, Membership: w, Ownership: w, Config: w, Recorder: event.Discard{}, Scope: tally.NoopScope})
 	qt.Assert(t, w.set.Start(t.Context()), qt.IsNil)
@@ -250,8 +244,10 @@
 	return s, nil
 }
 
-func (w *world) Self() platform.VM         { return platform.VM{ID: "node", Zone: "z1"} }
-func (w *world) Members() []cluster.Member { return nil }
+func (w *world) Self() platform.VM                  { return platform.VM{ID: "node", Zone: "z1"} }
+func (w *world) Members() []cluster.Member          { return nil }
+func (w *world) Owner(string) (cluster.Owner, bool) { return cluster.Owner{}, false }
+func (w *world) Current() *config.Document          { return w.document }
 
 func (w *world) Leaves(string) (vms []platform.VM) {
 	w.quietly(func() {
@@ -281,8 +277,6 @@
 	return w.refuse(verdict.CodeOut, func() bool { return w.out[vm.ID] }) == nil
 }
 
-func (w *world) Owner(string) (cluster.Owner, bool) { return cluster.Owner{}, false }
-
 func (w *world) CheckOwned(string) error {
 	return w.refuse(verdict.CodeNoOwner, func() bool { return len(w.owned) == 0 })
 }
@@ -293,8 +287,6 @@
 	return slices.Clone(w.owned), w.changed
 }
 
-func (w *world) Current() *config.Document { return w.document }
-
 var lastID atomic.Int64
 
 func newCall(timeout time.Duration) backend.Call {
--- a/internal/leafset/leafset_test.go
+++ b/internal/leafset/leafset_test.go
@@ -30,13 +30,10 @@
 		{"restarts", never, func(w *world) { w.leaves[0].drop(true) }},
 		{"session lost, calls go on", never, func(w *world) {
 			w.leaves[0].change(func(l *fakeLeaf) { l.work = 150 * time.Millisecond })
-			time.Sleep(50 * time.Millisecond)
-			w.leaves[0].drop(false)
-		}},
-		{"lost again while it ramps up", never, func(w *world) {
-			w.leaves[0].drop(false)
-			time.Sleep(150 * time.Millisecond)
-			w.leaves[0].drop(false)
+			for range 2 { // the second time while it ramps up
+				time.Sleep(50 * time.Millisecond)
+				w.leaves[0].drop(false)
+			}
 		}},
 		{"ownership lost and regained", never, func(w *world) {
 			w.change(func() { w.owned = nil })
--- a/internal/slots/slots_test.go
+++ b/internal/slots/slots_test.go
@@ -357,8 +357,6 @@
 // Guards against a leaf that gets more work than its limit after any schedule of lost sessions, restarts, lost and
 // regained ownership, late answers and handovers; against free slots that are not given to waiting requests; and
 // against grants out of order, before UsableFrom or beside a call that must run alone.
-//
-// Run with -rapid.seed to repeat a failure; the seed is printed with it.
 func TestRandomSchedules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t)
@@ -474,3 +472,22 @@
 	c.Assert(errors.Is(got["higher"], ErrNoReplica), qt.IsTrue)
 	c.Assert(errors.Is(ask("nowhere", 5, time.Second), ErrNoReplica), qt.IsTrue)
 }
+
+// Guards against a leaf that stays reserved for a request that was dropped.
+func TestReservationEnds(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := NewService(testOptions(&now, 0))
+	s.Open(now, &cluster.Handover{Leaves: []cluster.LeafHandover{{VM: "a", BootID: "boot", Limit: 2}}})
+	s.Connect("a", "z", "boot", nil)
+	for _, r := range []Request{{}, {Alone: true}, {}} { // the first one is served at once
+		r.Replicas = func() []leaf.Replica { return []leaf.Replica{{VM: "a"}} }
+		r.Deadline = now.Add(10 * time.Millisecond)
+		if !r.Alone {
+			r.Deadline = now.Add(time.Second)
+		}
+		_, _, _ = s.Acquire(r, func(*Grant, error) {})
+	}
+	now = now.Add(6 * time.Millisecond) // too late for the one that must run alone
+	s.Poll()
+	qt.Assert(t, s.Stats(), qt.Equals, Stats{InUse: 2, Limit: 2, Connected: 1})
+}
