Let nodes ask each other for their view of the registry

Change: each node gives its view over gRPC on the address for its peers. A node whose read failed asks one other node after each failed read, and the sender of a notice that it cannot derive; a starting node asks the seeds of its settings from 0.25 s on. The answer to a node that knows the state already is a few bytes. The peers' address is the platform's control address, since that is what seeds name.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,6 +12,7 @@
 	tallyprom "github.com/uber-go/tally/v4/prometheus"
 	"go.uber.org/fx"
 
+	"cyclamenstream/api/cluster"
 	"cyclamenstream/api/exchange"
 	"cyclamenstream/api/registry"
 	"cyclamenstream/internal/decision"
@@ -64,7 +65,7 @@
 		fx.StartTimeout(startTimeout),
 		fx.StopTimeout(s.ShutdownGrace.Duration+stopMargin),
 		fx.Supply(s, settingsPath(path)),
-		fx.Provide(newLog, newMetrics, newRegistry, newPeers, newPool, newSender, newBudget, newView, newDispatcher, newRoster, newLifecycle),
+		fx.Provide(newLog, newMetrics, newRegistry, newPeers, newViews, newPool, newSender, newBudget, newView, newDispatcher, newRoster, newLifecycle),
 		fx.Invoke(func(lc fx.Lifecycle, l *lifecycle) { lc.Append(fx.Hook{OnStart: l.start, OnStop: l.stop}) }),
 	)
 }
@@ -123,6 +124,8 @@
 	return notice.Listen(s.PeerListen, log, scope)
 }
 
+func newViews(scope tally.Scope) cluster.Views { return notice.NewViews(scope) }
+
 // retrySlack returns what this node may hold of the stated slack. Nodes that callers are sent to divide most of it; the
 // rest is for the others, which still get some requests.
 func retrySlack(s Settings, front []string, nodes int) float64 {
@@ -139,7 +142,7 @@
 
 // newRoster returns this node's membership, the follower of the registry, and the preparer of connections, which need each
 // other.
-func newRoster(s Settings, r registry.Registry, peers *notice.Datagrams, v *view, pool *direct.Pool, sender exchange.Sender,
+func newRoster(s Settings, r registry.Registry, peers *notice.Datagrams, views cluster.Views, v *view, pool *direct.Pool, sender exchange.Sender,
 	extra *budget.Bucket, log *decision.Log, scope tally.Scope) (*roster.Roster, *follow.Follower, *prepare.Preparer) {
 	self := registry.Member{ID: s.VM, Zone: s.Zone, Region: s.Region, CallerAddress: s.CallerListen, PeerAddress: s.PeerListen,
 		Boot: time.Now().UnixMilli(), Capacity: s.ProcessorShare * s.ProcessorSpeed}
@@ -162,8 +165,8 @@
 		}
 		preparer.Changed()
 	}
-	follower = follow.New(r, peers, follow.Config{Self: s.VM, Capacity: self.Capacity, Return: entriesReturn,
-		Interval: min(s.DrainWithin.Duration, s.ConfigWithin.Duration) / readsPerBound}, log, scope, apply)
+	follower = follow.New(r, peers, views, follow.Config{Self: s.VM, Address: s.PeerListen, Capacity: self.Capacity, Seeds: s.Seeds,
+		Return: entriesReturn, Interval: min(s.DrainWithin.Duration, s.ConfigWithin.Duration) / readsPerBound}, log, scope, apply)
 	nodes = roster.New(r, roster.Config{LeaseTTL: leaseTTL, RenewInterval: renewInterval,
 		ResolveTTL: min(resolveTTL, s.ResolveTTLMax.Duration)}, self, follower.Serving, log)
 	return nodes, follower, preparer
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -55,7 +55,11 @@
 }
 
 func start(t *testing.T, name string, store *site.Store) *node {
-	n := &node{settings: settingsFor(t, name, store)}
+	return startWith(t, settingsFor(t, name, store))
+}
+
+func startWith(t *testing.T, s Settings) *node {
+	n := &node{settings: s}
 	n.app = New(n.settings, "")
 	if err := n.app.Start(context.Background()); err != nil {
 		t.Fatal(err)
@@ -270,6 +274,7 @@
 		{`memory_limit`, `memory_limits`, "memory_limits"},
 		{`memory_limit`, "processor_share = 0\nmemory_limit", "processor_share"},
 		{`memory_limit`, "processor_speed = -1\nmemory_limit", "processor_speed"},
+		{`memory_limit`, "seeds = [\"127.0.0.1:6\", \"node\"]\nmemory_limit", "seeds.1. = \"node\""},
 		{`vm = "a"`, `vm = `, "line 1"},
 		{`memory_limit = 284`, "memory_limit = 284\n[zones]\nz = \"other\"", "zones"},
 	}
@@ -285,7 +290,8 @@
 	qt.Assert(t, err, qt.IsNil)
 	filled := strings.NewReplacer("{{node_name}}", "n", "{{zone}}", "z", "{{region}}", "r", "{{ip}}", "10.0.0.1",
 		"{{listen.front}}", "10.0.0.1:1", "{{listen.ready}}", "10.0.0.1:2", "{{listen.directory}}", "10.0.0.1:3",
-		"{{internal_ports.0}}", "7740", "{{platform.address}}", "10.0.0.2:1", "{{#zones}}", "", "{{/zones}}", "",
+		"{{listen.control}}", "10.0.0.1:4", "{{platform.address}}", "10.0.0.2:1", "{{#zones}}", "", "{{/zones}}", "",
+		`{{#seeds}}"{{.}}"{{,}}{{/seeds}}`, `"10.0.0.3:4", "10.0.0.4:4"`,
 		"{{@}}", "z", "{{.}}", "r").Replace(string(text))
 	for _, key := range []string{"grace_s", "ttl_max_s", "config_apply_ms", "drain_ms", "retry_budget_ratio", "budget_slack",
 		"warmup_overage", "warmup_slack"} {
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -9,6 +9,7 @@
 
 	tallyprom "github.com/uber-go/tally/v4/prometheus"
 	"go.uber.org/fx"
+	"google.golang.org/grpc"
 
 	"cyclamenstream/api/route"
 	"cyclamenstream/internal/decision"
@@ -67,6 +68,7 @@
 	front   *platform.Front
 	callers *http.Server
 	others  []*http.Server
+	views   *grpc.Server
 	cancel  context.CancelFunc
 }
 
@@ -111,6 +113,16 @@
 			l.others = append(l.others, server)
 		}
 	}
+	peers, err := net.Listen("tcp", s.PeerListen)
+	if err != nil {
+		return err
+	}
+	l.views = notice.NewViewServer(l.parts.Follower.View)
+	go func() {
+		if err := l.views.Serve(peers); err != nil {
+			l.listenerEnded(peers, err)
+		}
+	}()
 	ctx, cancel := context.WithCancel(context.Background())
 	l.cancel = cancel
 	if l.parts.Path != "" {
@@ -126,10 +138,14 @@
 
 func (l *lifecycle) serve(server *http.Server, listener net.Listener) {
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		l.parts.Log.Error("listener_ended", "address", listener.Addr().String(), "error", err.Error())
+		l.listenerEnded(listener, err)
 	}
 }
 
+func (l *lifecycle) listenerEnded(listener net.Listener, err error) {
+	l.parts.Log.Error("listener_ended", "address", listener.Addr().String(), "error", err.Error())
+}
+
 // stop is a graceful shutdown: the node leaves the directory, serves while callers may still come, ends their
 // connections with the answers, and exits once the last request is answered.
 func (l *lifecycle) stop(ctx context.Context) error {
@@ -148,6 +164,7 @@
 	defer cancel()
 	defer time.AfterFunc(time.Until(began.Add(grace-exitMargin-answerMargin)), l.parts.Requests.End).Stop()
 	err := l.callers.Shutdown(finish)
+	l.views.Stop()
 	for _, server := range l.others {
 		// The process ends next; a listener that does not close is of no consequence.
 		_ = server.Close()
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -19,13 +19,16 @@
 
 // Config holds the times of the follower.
 type Config struct {
-	// Self is the name of this node's VM, Capacity its processor time in cores.
+	// Self is the name of this node's VM, Address where it listens for its peers, Capacity its processor time in cores.
 	Self     string
+	Address  string
 	Capacity float64
 	// Interval is the time between the reads of the node that reads for all.
 	Interval time.Duration
 	// Return is how long entries may stay missing after the registry was away before they count as gone.
 	Return time.Duration
+	// Seeds are addresses of nodes that may know the registry, for a node that cannot read it and knows no others.
+	Seeds []string
 }
 
 const (
@@ -58,6 +61,7 @@
 type Follower struct {
 	registry registry.Registry
 	peers    cluster.Peers
+	views    cluster.Views
 	config   Config
 	log      *decision.Log
 	skipped  tally.Gauge
@@ -67,15 +71,19 @@
 	mu    sync.Mutex
 	state registry.State
 	known bool
-
-	// The fields below belong to the goroutine of Run.
-
 	// confirmed is when the state was the newest for certain.
 	confirmed time.Time
-	next      time.Time // earliest time of the next read
-	pause     time.Duration
-	// away says that this node's last read failed; outage that nobody is known to have read the registry since then.
+
+	// Only the goroutine of Run writes the fields above, and it alone uses those below.
+
+	next  time.Time // earliest time of the next read
+	pause time.Duration
+	// away says that this node's last read failed, the first time at lostAt; outage that nobody is known to have read the
+	// registry since then.
 	away, outage bool
+	lostAt       time.Time
+	// asked counts the views that were asked for, so that each next one is asked of another node.
+	asked int
 	// returned is when the last outage ended. held says that the state has entries which were missing since then.
 	returned time.Time
 	held     bool
@@ -85,8 +93,8 @@
 }
 
 // New returns a follower that reports each change from its own goroutine.
-func New(r registry.Registry, peers cluster.Peers, c Config, log *decision.Log, scope tally.Scope, onChange func(registry.State)) *Follower {
-	return &Follower{registry: r, peers: peers, config: c, log: log, skipped: scope.Gauge("registry_entries_skipped"),
+func New(r registry.Registry, peers cluster.Peers, views cluster.Views, c Config, log *decision.Log, scope tally.Scope, onChange func(registry.State)) *Follower {
+	return &Follower{registry: r, peers: peers, views: views, config: c, log: log, skipped: scope.Gauge("registry_entries_skipped"),
 		seen: map[string]time.Time{},
 		age:  scope.Histogram("view_age", tally.MustMakeExponentialDurationBuckets(250*time.Millisecond, 2, 6)), onChange: onChange}
 }
@@ -140,7 +148,8 @@
 		return
 	}
 	f.log.Info("paused", "monotonic_ms", decision.Millis(monotonic), "wall_ms", decision.Millis(wall))
-	f.confirmed, f.next = time.Time{}, time.Time{}
+	f.confirm(time.Time{})
+	f.next = time.Time{}
 	for {
 		select {
 		case <-f.peers.Notices():
@@ -187,10 +196,15 @@
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	began, inTurn := time.Now(), !f.confirmed.IsZero()
-	next, err := f.readOnce(call)
+	next, view, err := f.readOnce(call)
 	f.lastTick = time.Now() // waiting for the answer is no pause
-	if err != nil {
+	switch {
+	case view != nil:
+		f.takeView(view.View, began, view.address)
+		return
+	case err != nil:
 		f.failed(err)
+		f.ask(ctx)
 		return
 	}
 	if f.away {
@@ -206,55 +220,69 @@
 	f.pause, f.next = 0, began.Add(minRead)
 	f.skipped.Update(float64(next.Skipped))
 	old := f.state
-	if next.Revision < old.Revision {
-		f.log.Warn("read_ignored", "revision", next.Revision, "known", old.Revision)
-		return
-	}
-	exact := digest(next)
-	next = keepNewest(old, next, f.holding(time.Now()))
-	f.held = digest(next) != exact
-	f.confirmed = began
-	f.adopt(next, "read")
-	if !inTurn && !f.readsFirst() {
+	if !f.install(next, began, "read") || !inTurn && !f.readsFirst() {
 		return
 	}
 	addresses := f.addresses()
-	for _, n := range newNotices(f.config.Self, old, next) {
+	for _, n := range newNotices(f.config.Self, old, f.state) {
 		f.peers.Tell(addresses, n)
 	}
 }
 
+// install makes a whole state the present one unless it is older. It was the newest for certain at confirmed.
+func (f *Follower) install(next registry.State, confirmed time.Time, source string) bool {
+	old := f.state
+	if next.Revision < old.Revision {
+		f.log.Warn("read_ignored", "revision", next.Revision, "known", old.Revision, "source", source)
+		return false
+	}
+	exact := digest(next)
+	next = keepNewest(old, next, f.holding(time.Now()))
+	f.held = digest(next) != exact
+	f.confirm(confirmed)
+	f.adopt(next, source)
+	return true
+}
+
 // readOnce reads the registry. A node that knows nothing yet starts further reads while the first one waits, since the
-// connection of a call to a registry that was away may stay silent after its return.
-func (f *Follower) readOnce(ctx context.Context) (registry.State, error) {
+// connection of a call to a registry that was away may stay silent after its return, and asks other nodes meanwhile: then view
+// is what one of them knows.
+func (f *Follower) readOnce(ctx context.Context) (state registry.State, view *peerView, err error) {
 	if f.known {
-		return f.registry.Read(ctx)
+		state, err = f.registry.Read(ctx)
+		return state, nil, err
 	}
 	type answer struct {
 		state registry.State
 		err   error
 	}
 	answers := make(chan answer, int(callTimeout/firstReadEvery)+1)
+	views := make(chan peerView, cap(answers))
 	ticker := time.NewTicker(firstReadEvery)
 	defer ticker.Stop()
-	for {
+	for first := true; ; first = false {
 		go func() {
 			s, err := f.registry.Read(ctx)
 			answers <- answer{s, err}
 		}()
+		if !first {
+			f.askMeanwhile(ctx, views)
+		}
 		select {
 		case a := <-answers:
-			return a.state, a.err
+			return a.state, nil, a.err
+		case v := <-views:
+			return registry.State{}, &v, nil
 		case <-ticker.C:
 		case <-ctx.Done():
-			return registry.State{}, ctx.Err()
+			return registry.State{}, nil, ctx.Err()
 		}
 	}
 }
 
 func (f *Follower) failed(err error) {
 	if !f.away {
-		f.away, f.outage = true, true
+		f.away, f.outage, f.lostAt = true, true, time.Now()
 		f.log.Warn("registry_lost", "error", err.Error(), "revision", f.state.Revision)
 	}
 	most := maxRetry
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -86,11 +86,19 @@
 	return p.fakeRegistry.Read(ctx)
 }
 
-// network carries notices between the followers of a test.
+func (p partly) Operator(ctx context.Context, fresh registry.Freshness) (registry.Operator, error) {
+	if p.refused.Load() {
+		return registry.Operator{}, errors.New("refused")
+	}
+	return p.fakeRegistry.Operator(ctx, fresh)
+}
+
+// network carries notices and views between the followers of a test.
 type network struct {
 	mu    sync.Mutex
 	nodes map[string]chan cluster.Notice
 	cut   map[string]bool
+	views map[string]*Follower
 }
 
 type port struct {
@@ -98,11 +106,16 @@
 	self string
 }
 
-func (p port) Notices() <-chan cluster.Notice { return p.nodes[p.self] }
+func (p port) Notices() <-chan cluster.Notice {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.nodes[p.self]
+}
 
 func (p port) Tell(addresses []string, n cluster.Notice) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	n.From = p.self
 	for _, to := range addresses {
 		if !p.cut[p.self] && !p.cut[to] {
 			select {
@@ -113,6 +126,21 @@
 	}
 }
 
+// Fetch implements cluster.Views.
+func (p port) Fetch(_ context.Context, address string, known cluster.Known) (cluster.View, error) {
+	p.mu.Lock()
+	other, cut := p.views[address], p.cut[p.self] || p.cut[address]
+	p.mu.Unlock()
+	if other == nil || cut {
+		return cluster.View{}, errors.New("unreachable")
+	}
+	v, ok := other.View(known)
+	if !ok {
+		return v, errors.New("knows nothing")
+	}
+	return v, nil
+}
+
 func (n *network) setCut(node string, cut bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -138,7 +166,7 @@
 // play runs a group of n nodes on simulated time.
 func play(t *testing.T, n int, check func(*group)) {
 	synctest.Test(t, func(t *testing.T) {
-		g := &group{C: qt.New(t), net: &network{nodes: map[string]chan cluster.Notice{}, cut: map[string]bool{}},
+		g := &group{C: qt.New(t), net: &network{nodes: map[string]chan cluster.Notice{}, cut: map[string]bool{}, views: map[string]*Follower{}},
 			registry: &fakeRegistry{state: registry.State{Operator: registry.Operator{Table: table(1)}, Leaves: []registry.Leaf{testLeaf("l1", 1)}, Revision: 1}}}
 		ctx, cancel := context.WithCancel(context.Background())
 		log := decision.New(io.Discard, "n", "z")
@@ -151,8 +179,9 @@
 		for i := range n {
 			name := string(rune('a' + i))
 			g.refused = append(g.refused, &atomic.Bool{})
-			f := New(partly{g.registry, g.refused[i]}, port{g.net, name}, Config{Self: name, Interval: time.Second, Return: 2 * time.Second}, log, tally.NoopScope, func(registry.State) {})
-			g.nodes = append(g.nodes, f)
+			p := port{g.net, name}
+			f := New(partly{g.registry, g.refused[i]}, p, p, Config{Self: name, Address: name, Interval: time.Second, Return: 2 * time.Second}, log, tally.NoopScope, func(registry.State) {})
+			g.nodes, g.net.views[name] = append(g.nodes, f), f
 			running.Go(func() { f.Run(ctx) })
 		}
 		time.Sleep(2 * time.Second)
@@ -284,7 +313,7 @@
 		r := &fakeRegistry{state: registry.State{Operator: registry.Operator{Table: table(1)}, Leaves: []registry.Leaf{testLeaf("l1", 1)}, Revision: 1}}
 		log := decision.New(io.Discard, "a", "z")
 		leaves := make(chan int, 8)
-		f := New(r, port{&network{}, "a"}, Config{Self: "a", Interval: 10 * time.Second, Return: comeBack}, log, tally.NoopScope,
+		f := New(r, port{&network{}, "a"}, port{&network{}, "a"}, Config{Self: "a", Interval: 10 * time.Second, Return: comeBack}, log, tally.NoopScope,
 			func(s registry.State) { leaves <- len(s.Leaves) })
 		ctx, cancel := context.WithCancel(context.Background())
 		go f.Run(ctx)
@@ -313,7 +342,7 @@
 		c := qt.New(t)
 		net := &network{nodes: map[string]chan cluster.Notice{"a": make(chan cluster.Notice, 4)}, cut: map[string]bool{}}
 		log := decision.New(io.Discard, "a", "z")
-		f := New(&fakeRegistry{}, port{net, "a"}, Config{Self: "a", Interval: time.Second}, log, tally.NoopScope, func(registry.State) {})
+		f := New(&fakeRegistry{}, port{net, "a"}, port{net, "a"}, Config{Self: "a", Interval: time.Second}, log, tally.NoopScope, func(registry.State) {})
 		f.lastTick, f.confirmed, f.known = time.Now(), time.Now(), true
 		net.nodes["a"] <- cluster.Notice{Sender: "b", Digest: digest(f.state)}
 		time.Sleep(maxPause)
--- a/internal/follow/news.go
+++ b/internal/follow/news.go
@@ -34,16 +34,13 @@
 		return
 	}
 	now, own := time.Now(), digest(f.state)
-	if f.outage {
-		f.outage, f.returned = false, now
-		f.next = now
-	}
+	f.endOutage(now)
 	switch {
 	case n.Digest == own:
 		f.mu.Lock()
 		f.state.Revision = n.Revision
 		f.mu.Unlock()
-		f.confirm(n, now)
+		f.confirmBy(n, now)
 		return
 	case n.Base == own && !n.Partial:
 		next := applied(f.state, n)
@@ -51,7 +48,7 @@
 			break
 		}
 		if digest(next) == n.Digest {
-			f.confirm(n, now)
+			f.confirmBy(n, now)
 			f.adopt(next, "notice of "+n.Sender)
 			return
 		}
@@ -59,18 +56,39 @@
 		return // the last notice of the read tells whether this node is behind
 	}
 	f.log.Info("notice_unknown", "sender", n.Sender, "revision", n.Revision, "known", f.state.Revision)
-	f.confirmed = time.Time{}
+	if f.away && f.fetchView(ctx, n.From) {
+		return
+	}
+	f.confirm(time.Time{})
 }
 
-// confirm notes that the state is the newest; one that more notices lead on from is not.
-func (f *Follower) confirm(n cluster.Notice, now time.Time) {
+// endOutage notes that a node has read the registry since this node could not.
+func (f *Follower) endOutage(now time.Time) {
+	if f.outage {
+		f.outage, f.returned, f.next = false, now, now
+	}
+}
+
+// confirm notes when the state was the newest for certain; the zero time says that it is in doubt.
+func (f *Follower) confirm(at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.confirmed = at
+}
+
+// confirmBy notes that a notice has shown the state to be the newest; one that more notices lead on from is not.
+func (f *Follower) confirmBy(n cluster.Notice, now time.Time) {
 	if !n.More {
-		f.confirmed = now
+		f.confirm(now)
 	}
 }
 
-// fetchTable reads the routing configuration of a known version: cheaply if that is not too old.
+// fetchTable reads the routing configuration of a known version: cheaply if that is not too old. It does not try while the
+// registry does not answer this node.
 func (f *Follower) fetchTable(ctx context.Context, s *registry.State, wanted uint64) bool {
+	if f.away {
+		return false
+	}
 	for _, freshness := range []registry.Freshness{registry.Cheap, registry.Exact} {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		o, err := f.registry.Operator(call, freshness)
--- /dev/null
+++ b/internal/follow/views_test.go
@@ -0,0 +1,102 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+
+	"cyclamenstream/api/cluster"
+	"cyclamenstream/api/registry"
+	"cyclamenstream/internal/decision"
+)
+
+// Guards against a node that serves an old configuration, or sends to leaves that have left, because the registry refuses it
+// while the others hear of every change.
+func TestRefusedNodeLearnsFromOthers(t *testing.T) {
+	play(t, 3, func(g *group) {
+		g.refused[0].Store(true)
+		time.Sleep(3 * time.Second)
+		for i := range 8 {
+			g.registry.set(func(s *registry.State) {
+				s.Table, s.Leaves = table(uint64(10+i)), []registry.Leaf{testLeaf("m", s.Revision)}
+			})
+			time.Sleep(1500 * time.Millisecond)
+			g.Assert(g.view(0).Table.Version, qt.Equals, uint64(10+i))
+			g.Assert(g.view(0).Leaves[0].ID, qt.Equals, "m")
+		}
+	})
+}
+
+// Guards against a node that loses touch when the registry refuses it and notices do not reach it either.
+func TestRefusedNodeAsksForViews(t *testing.T) {
+	play(t, 3, func(g *group) {
+		g.refused[0].Store(true)
+		g.net.mu.Lock()
+		g.net.nodes["a"] = nil // its notices are lost from here on
+		g.net.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		g.registry.set(func(s *registry.State) { s.Table = table(7) })
+		time.Sleep(3500 * time.Millisecond)
+		g.Assert(g.view(0).Table.Version, qt.Equals, uint64(7))
+	})
+}
+
+// start runs a further node, which knows the seeds only.
+func (g *group) start(ctx context.Context, name string, r registry.Registry, seeds ...string) *Follower {
+	g.net.mu.Lock()
+	g.net.nodes[name] = make(chan cluster.Notice, 64)
+	g.net.mu.Unlock()
+	log := decision.New(io.Discard, name, "z")
+	f := New(r, port{g.net, name}, port{g.net, name}, Config{Self: name, Address: name, Interval: time.Second, Return: 2 * time.Second,
+		Seeds: seeds}, log, tally.NoopScope, func(registry.State) {})
+	go func() { f.Run(ctx); log.Close(time.Second) }()
+	return f
+}
+
+// silent is a registry that never answers.
+type silent struct{ registry.Registry }
+
+func (silent) Read(ctx context.Context) (registry.State, error) {
+	<-ctx.Done()
+	return registry.State{}, ctx.Err()
+}
+
+// Guards against nodes that start while the registry is away and refuse everything, although others know the state.
+func TestStartFromAnotherNode(t *testing.T) {
+	play(t, 2, func(g *group) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer func() { cancel(); time.Sleep(2 * time.Second) }()
+		g.registry.fail(errors.New("down"))
+		time.Sleep(5 * time.Second)
+		refused := g.start(ctx, "c", g.registry, "c", "gone", "b")
+		unanswered := g.start(ctx, "d", silent{}, "gone", "a")
+		time.Sleep(1200 * time.Millisecond)
+		for i, f := range []*Follower{refused, unanswered} {
+			g.Check(f.Serving(), qt.IsTrue, qt.Commentf("node %d", i))
+		}
+	})
+}
+
+// Guards against an old view that replaces a newer one, and one that nobody has confirmed being taken for the newest.
+func TestOldViewChangesNothing(t *testing.T) {
+	play(t, 1, func(g *group) {
+		log := decision.New(io.Discard, "x", "z")
+		defer log.Close(time.Second)
+		f := New(g.registry, port{g.net, "x"}, port{g.net, "x"}, Config{Self: "x", Interval: time.Second}, log, tally.NoopScope, func(registry.State) {})
+		newest := registry.State{Operator: registry.Operator{Table: table(3)}, Revision: 9}
+		g.Assert(f.takeView(cluster.View{State: newest}, time.Now(), "b"), qt.IsFalse)
+		g.Assert(f.state.Table.Version, qt.Equals, uint64(3)) // better than nothing
+		g.Assert(f.confirmed.IsZero(), qt.IsTrue)
+		older := registry.State{Operator: registry.Operator{Table: table(2)}, Revision: 8}
+		f.takeView(cluster.View{State: older, Confirmed: true}, time.Now(), "b")
+		g.Assert(f.state.Table.Version, qt.Equals, uint64(3))
+		g.Assert(f.confirmed.IsZero(), qt.IsTrue)
+		g.Assert(f.takeView(cluster.View{State: newest, Same: true, Confirmed: true, Age: 3 * time.Second}, time.Now(), "b"), qt.IsFalse)
+		g.Assert(f.takeView(cluster.View{State: newest, Same: true, Confirmed: true}, time.Now(), "b"), qt.IsTrue)
+	})
+}
--- /dev/null
+++ b/internal/notice/encoding.go
@@ -0,0 +1,84 @@
+package notice
+
+import (
+	"encoding/json"
+	"time"
+
+	"cyclamenstream/api/cluster"
+	"cyclamenstream/api/registry"
+	"cyclamenstream/api/route"
+	"cyclamenstream/gen/noticepb"
+)
+
+func encode(n cluster.Notice) *noticepb.Notice {
+	return &noticepb.Notice{Sender: n.Sender, Revision: n.Revision, Digest: n.Digest, Base: n.Base, Partial: n.Partial, More: n.More,
+		ConfigVersion: n.ConfigVersion, Evacuated: n.Evacuated, LeavesGone: n.LeavesGone, MembersGone: n.MembersGone,
+		Leaves: encodeLeaves(n.Leaves), Members: encodeMembers(n.Members)}
+}
+
+func decode(m *noticepb.Notice) cluster.Notice {
+	return cluster.Notice{Sender: m.Sender, Revision: m.Revision, Digest: m.Digest, Base: m.Base, Partial: m.Partial, More: m.More,
+		ConfigVersion: m.ConfigVersion, Evacuated: m.Evacuated, LeavesGone: m.LeavesGone, MembersGone: m.MembersGone,
+		Leaves: decodeLeaves(m.Leaves), Members: decodeMembers(m.Members)}
+}
+
+func encodeView(v cluster.View, known cluster.Known) (*noticepb.View, error) {
+	m := &noticepb.View{Revision: v.State.Revision, Confirmed: v.Confirmed, AgeMs: uint32(v.Age.Milliseconds()), Same: v.Same}
+	if v.Same {
+		return m, nil
+	}
+	m.Evacuated, m.Leaves, m.Members = v.State.Evacuated, encodeLeaves(v.State.Leaves), encodeMembers(v.State.Members)
+	if v.State.Table == nil || v.State.Table.Version == known.ConfigVersion {
+		return m, nil
+	}
+	var err error
+	m.Table, err = json.Marshal(v.State.Table)
+	return m, err
+}
+
+func decodeView(m *noticepb.View) (cluster.View, error) {
+	v := cluster.View{Same: m.Same, Confirmed: m.Confirmed, Age: time.Duration(m.AgeMs) * time.Millisecond,
+		State: registry.State{Revision: m.Revision, Leaves: decodeLeaves(m.Leaves), Members: decodeMembers(m.Members)}}
+	v.State.Evacuated = m.Evacuated
+	if len(m.Table) == 0 {
+		return v, nil
+	}
+	v.State.Table = &route.Table{}
+	return v, json.Unmarshal(m.Table, v.State.Table)
+}
+
+func encodeLeaves(leaves []registry.Leaf) []*noticepb.Leaf {
+	var list []*noticepb.Leaf
+	for _, l := range leaves {
+		list = append(list, &noticepb.Leaf{Id: l.ID, Service: l.Service, Address: l.Address, Zone: l.Zone,
+			Slots: uint32(l.Slots), Draining: l.Draining, WarmupLeftMs: uint32(l.WarmupLeft.Milliseconds()), Boot: l.Boot, Revision: l.Revision})
+	}
+	return list
+}
+
+func decodeLeaves(leaves []*noticepb.Leaf) []registry.Leaf {
+	var list []registry.Leaf
+	for _, l := range leaves {
+		list = append(list, registry.Leaf{ID: l.Id, Service: l.Service, Address: l.Address, Zone: l.Zone,
+			Slots: int(l.Slots), Draining: l.Draining, WarmupLeft: time.Duration(l.WarmupLeftMs) * time.Millisecond, Boot: l.Boot, Revision: l.Revision})
+	}
+	return list
+}
+
+func encodeMembers(members []registry.Member) []*noticepb.Member {
+	var list []*noticepb.Member
+	for _, e := range members {
+		list = append(list, &noticepb.Member{Id: e.ID, Zone: e.Zone, Region: e.Region,
+			CallerAddress: e.CallerAddress, PeerAddress: e.PeerAddress, Boot: e.Boot, Capacity: e.Capacity})
+	}
+	return list
+}
+
+func decodeMembers(members []*noticepb.Member) []registry.Member {
+	var list []registry.Member
+	for _, e := range members {
+		list = append(list, registry.Member{ID: e.Id, Zone: e.Zone, Region: e.Region,
+			CallerAddress: e.CallerAddress, PeerAddress: e.PeerAddress, Boot: e.Boot, Capacity: e.Capacity})
+	}
+	return list
+}
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -1,5 +1,6 @@
-// Package notice carries notices between nodes in datagrams: a notice that is lost costs its receiver one read of the
-// registry, so that no connections need to be kept between all nodes.
+// Package notice carries what nodes tell each other of the registry. Notices travel in datagrams: one that is lost costs its
+// receiver one read of the registry, so that no connections need to be kept between all nodes. Whole views are asked for over
+// gRPC.
 package notice
 
 import (
@@ -11,7 +12,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"cyclamenstream/api/cluster"
-	"cyclamenstream/api/registry"
 	"cyclamenstream/gen/noticepb"
 	"cyclamenstream/internal/decision"
 )
@@ -54,7 +54,7 @@
 	defer context.AfterFunc(ctx, func() { _ = d.conn.Close() })()
 	buffer := make([]byte, maxDatagram+1)
 	for ctx.Err() == nil {
-		n, _, err := d.conn.ReadFromUDPAddrPort(buffer)
+		n, from, err := d.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			if ctx.Err() == nil {
 				d.log.Warn("notice_receive", "error", err.Error())
@@ -67,7 +67,9 @@
 			d.dropped.Inc(1)
 			continue
 		}
-		d.queue(decode(&m))
+		notice := decode(&m)
+		notice.From = from.String()
+		d.queue(notice)
 	}
 }
 
@@ -116,31 +118,3 @@
 		d.sent.Inc(1)
 	}
 }
-
-func encode(n cluster.Notice) *noticepb.Notice {
-	m := &noticepb.Notice{Sender: n.Sender, Revision: n.Revision, Digest: n.Digest, Base: n.Base, Partial: n.Partial, More: n.More,
-		ConfigVersion: n.ConfigVersion, Evacuated: n.Evacuated, LeavesGone: n.LeavesGone, MembersGone: n.MembersGone}
-	for _, l := range n.Leaves {
-		m.Leaves = append(m.Leaves, &noticepb.Leaf{Id: l.ID, Service: l.Service, Address: l.Address, Zone: l.Zone,
-			Slots: uint32(l.Slots), Draining: l.Draining, WarmupLeftMs: uint32(l.WarmupLeft.Milliseconds()), Boot: l.Boot, Revision: l.Revision})
-	}
-	for _, e := range n.Members {
-		m.Members = append(m.Members, &noticepb.Member{Id: e.ID, Zone: e.Zone, Region: e.Region,
-			CallerAddress: e.CallerAddress, PeerAddress: e.PeerAddress, Boot: e.Boot, Capacity: e.Capacity})
-	}
-	return m
-}
-
-func decode(m *noticepb.Notice) cluster.Notice {
-	n := cluster.Notice{Sender: m.Sender, Revision: m.Revision, Digest: m.Digest, Base: m.Base, Partial: m.Partial, More: m.More,
-		ConfigVersion: m.ConfigVersion, Evacuated: m.Evacuated, LeavesGone: m.LeavesGone, MembersGone: m.MembersGone}
-	for _, l := range m.Leaves {
-		n.Leaves = append(n.Leaves, registry.Leaf{ID: l.Id, Service: l.Service, Address: l.Address, Zone: l.Zone,
-			Slots: int(l.Slots), Draining: l.Draining, WarmupLeft: time.Duration(l.WarmupLeftMs) * time.Millisecond, Boot: l.Boot, Revision: l.Revision})
-	}
-	for _, e := range m.Members {
-		n.Members = append(n.Members, registry.Member{ID: e.Id, Zone: e.Zone, Region: e.Region,
-			CallerAddress: e.CallerAddress, PeerAddress: e.PeerAddress, Boot: e.Boot, Capacity: e.Capacity})
-	}
-	return n
-}
--- a/internal/notice/notice_test.go
+++ b/internal/notice/notice_test.go
@@ -53,6 +53,7 @@
 		Leaves: []registry.Leaf{leaf(1)}, LeavesGone: []string{"l9"}, MembersGone: []string{"n8"},
 		Members: []registry.Member{{ID: "n2", Zone: "z", Region: "r", CallerAddress: "a:1", PeerAddress: "a:2", Boot: 4}}}
 	from.Tell([]string{"not an address", address}, sent)
+	sent.From = from.conn.LocalAddr().String() // where an answer would go
 	c.Assert(receive(t, to), qt.DeepEquals, sent)
 }
 
--- /dev/null
+++ b/internal/notice/views_test.go
@@ -0,0 +1,79 @@
+package notice
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+
+	"cyclamenstream/api/cluster"
+	"cyclamenstream/api/registry"
+	"cyclamenstream/api/route"
+)
+
+// serveViews gives out a view and returns the address.
+func serveViews(t *testing.T, source Source) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := NewViewServer(source)
+	var serving sync.WaitGroup
+	serving.Go(func() {
+		if err := server.Serve(listener); err != nil {
+			t.Error(err)
+		}
+	})
+	t.Cleanup(func() { server.Stop(); serving.Wait() })
+	return listener.Addr().String()
+}
+
+// Guards against parts of a view that are lost on the way: a node that starts from one would serve by less than there is.
+func TestViewArrivesWhole(t *testing.T) {
+	c := qt.New(t)
+	table := &route.Table{Version: 7, Limits: route.Limits{HeaderBytes: 1, BodyBytes: 2, HeaderTimeout: 3, Idle: 4},
+		Services: map[string]route.Service{"s": {Name: "s", MaxConnections: 3, Warmup: time.Second, WarmupRate: 2.5}},
+		Routes: []route.Route{{Name: "r", Host: "h", Prefix: "/p/", Idempotent: true, Timeout: time.Second, Target: time.Millisecond,
+			Priority: 2, Service: "s", Split: []route.Share{{Service: "s", Weight: 0.5}}, Gather: []string{"s"}, MaxAttempts: 2, Top: 3,
+			MinShare: 0.25, Regions: []string{"r1"}}}}
+	sent := registry.State{Operator: registry.Operator{Table: table, Evacuated: []string{"z2"}}, Leaves: []registry.Leaf{leaf(1)},
+		Members: []registry.Member{{ID: "n2", Zone: "z", Region: "r", CallerAddress: "a:1", PeerAddress: "a:2", Boot: 4, Capacity: 0.5}}, Revision: 9}
+	address := serveViews(t, func(known cluster.Known) (cluster.View, bool) {
+		return cluster.View{State: sent, Same: known.Digest == 5, Confirmed: true, Age: 1500 * time.Millisecond}, true
+	})
+	views := NewViews(tally.NoopScope)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	got, err := views.Fetch(ctx, address, cluster.Known{})
+	c.Assert(err, qt.IsNil)
+	c.Assert(got, qt.DeepEquals, cluster.View{State: sent, Confirmed: true, Age: 1500 * time.Millisecond})
+
+	got, err = views.Fetch(ctx, address, cluster.Known{Digest: 4, ConfigVersion: 7})
+	c.Assert(err, qt.IsNil)
+	c.Assert(got.State.Table, qt.IsNil) // the asking node has it
+	c.Assert(got.State.Leaves, qt.HasLen, 1)
+
+	got, err = views.Fetch(ctx, address, cluster.Known{Digest: 5})
+	c.Assert(err, qt.IsNil)
+	c.Assert(got, qt.DeepEquals, cluster.View{State: registry.State{Revision: 9}, Same: true, Confirmed: true, Age: 1500 * time.Millisecond})
+}
+
+// Guards against a node that knows nothing, or cannot be reached, being taken for one with an empty view.
+func TestNoView(t *testing.T) {
+	c := qt.New(t)
+	ignorant := serveViews(t, func(cluster.Known) (cluster.View, bool) { return cluster.View{}, false })
+	views := NewViews(tally.NoopScope)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_, err := views.Fetch(ctx, ignorant, cluster.Known{})
+	c.Assert(err, qt.ErrorMatches, ".*knows nothing.*")
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Assert(listener.Close(), qt.IsNil)
+	_, err = views.Fetch(ctx, listener.Addr().String(), cluster.Known{})
+	c.Assert(err, qt.Not(qt.IsNil))
+}
