Refuse requests that crash leaves on all nodes; find peers without seeds

Two changes that share files.

Crashing requests. Change: package crashes. A request that broke off is a suspect once its leaf's entry is gone or of another start; nodes tell each other; it is refused after two attempts and three leaves unless a leaf has answered it.

The logs show that the three machines that seeds name start 0.3 s later after the final fault; the platform does so where a role serves what seeds need. Change: no seeds; a node that knows nothing learns from the first node that asks it. Nodes ask one another each second while the registry does not answer, different ones at a time.

--- a/api/cluster/notice.go
+++ b/api/cluster/notice.go
@@ -44,6 +44,8 @@
 	// Digest stands for its state, 0 if it knows none.
 	Digest        uint64
 	ConfigVersion uint64
+	// Address is where the node listens for its peers.
+	Address string
 }
 
 // View is what a node knows of the registry.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	"cyclamenstream/api/cluster"
 	"cyclamenstream/api/exchange"
 	"cyclamenstream/api/registry"
+	"cyclamenstream/internal/crashes"
 	"cyclamenstream/internal/decision"
 	"cyclamenstream/internal/direct"
 	"cyclamenstream/internal/fanout/budget"
@@ -65,7 +66,7 @@
 		fx.StartTimeout(startTimeout),
 		fx.StopTimeout(s.ShutdownGrace.Duration+stopMargin),
 		fx.Supply(s, settingsPath(path)),
-		fx.Provide(newLog, newMetrics, newRegistry, newPeers, newViews, newPool, newSender, newBudget, newView, newDispatcher, newRoster, newLifecycle),
+		fx.Provide(newLog, newMetrics, newRegistry, newPeers, newViews, newPool, newSender, newBudget, newCrashes, newView, newDispatcher, newRoster, newLifecycle),
 		fx.Invoke(func(lc fx.Lifecycle, l *lifecycle) { lc.Append(fx.Hook{OnStart: l.start, OnStop: l.stop}) }),
 	)
 }
@@ -111,12 +112,27 @@
 
 func newView() *view { return &view{} }
 
-func newDispatcher(s Settings, pool *direct.Pool, sender exchange.Sender, v *view, extra *budget.Bucket,
+// knownPeers holds the addresses of the other nodes.
+type knownPeers struct{ atomic.Pointer[[]string] }
+
+func (k *knownPeers) addresses() []string {
+	if list := k.Load(); list != nil {
+		return *list
+	}
+	return nil
+}
+
+func newCrashes(peers *notice.Datagrams, log *decision.Log) (*crashes.List, *knownPeers) {
+	known := &knownPeers{}
+	return crashes.New(crashes.Config{Peers: peers, Addresses: known.addresses, Log: log, Now: time.Now}), known
+}
+
+func newDispatcher(s Settings, pool *direct.Pool, sender exchange.Sender, v *view, extra *budget.Bucket, crashing *crashes.List,
 	log *decision.Log, scope tally.Scope) *gather.Dispatcher {
 	return gather.New(gather.Deps{
 		Config: gather.Config{AnswerMargin: s.AnswerMargin.Duration, OpenMargin: s.OpenMargin.Duration, RetryShare: s.RetryShare * retryUse,
 			RetryAfterNoConfig: retryAfterNoConfig, RetryAfterBusy: retryAfterBusy, SampleEvery: sampleEvery},
-		Pool: pool, Sender: sender, Table: v.index.Load, Extra: extra, Log: log, Scope: scope,
+		Pool: pool, Sender: sender, Table: v.index.Load, Extra: extra, Crashes: crashing, Log: log, Scope: scope,
 	})
 }
 
@@ -140,10 +156,21 @@
 	return slack * (1 - frontSlack) / float64(others)
 }
 
+// peerAddresses returns where the nodes other than self listen for their peers.
+func peerAddresses(members []registry.Member, self string) *[]string {
+	var list []string
+	for _, m := range members {
+		if m.ID != self && m.PeerAddress != "" {
+			list = append(list, m.PeerAddress)
+		}
+	}
+	return &list
+}
+
 // newRoster returns this node's membership, the follower of the registry, and the preparer of connections, which need each
 // other.
 func newRoster(s Settings, r registry.Registry, peers *notice.Datagrams, views cluster.Views, v *view, pool *direct.Pool, sender exchange.Sender,
-	extra *budget.Bucket, log *decision.Log, scope tally.Scope) (*roster.Roster, *follow.Follower, *prepare.Preparer) {
+	extra *budget.Bucket, crashing *crashes.List, known *knownPeers, log *decision.Log, scope tally.Scope) (*roster.Roster, *follow.Follower, *prepare.Preparer) {
 	self := registry.Member{ID: s.VM, Zone: s.Zone, Region: s.Region, CallerAddress: s.CallerListen, PeerAddress: s.PeerListen,
 		Boot: time.Now().UnixMilli(), Capacity: s.ProcessorShare * s.ProcessorSpeed}
 	var follower *follow.Follower
@@ -151,6 +178,7 @@
 	preparer := prepare.New(pool, sender, func() bool { return nodes.Ready() && slices.Contains(nodes.Front(), s.VM) })
 	apply := func(now registry.State) {
 		nodes.Update(now.Members)
+		known.Store(peerAddresses(now.Members, s.VM))
 		front := nodes.Front()
 		extra.SetMax(retrySlack(s, front, len(now.Members)))
 		if now.Table == nil {
@@ -162,11 +190,12 @@
 		}
 		for _, l := range gone {
 			sender.Forget(l)
+			crashing.Down(l)
 		}
 		preparer.Changed()
 	}
-	follower = follow.New(r, peers, views, follow.Config{Self: s.VM, Address: s.PeerListen, Capacity: self.Capacity, Seeds: s.Seeds,
-		Return: entriesReturn, Interval: min(s.DrainWithin.Duration, s.ConfigWithin.Duration) / readsPerBound}, log, scope, apply)
+	follower = follow.New(r, peers, views, follow.Config{Self: s.VM, Address: s.PeerListen, Capacity: self.Capacity, Return: entriesReturn,
+		Interval: min(s.DrainWithin.Duration, s.ConfigWithin.Duration) / readsPerBound}, log, scope, apply)
 	nodes = roster.New(r, roster.Config{LeaseTTL: leaseTTL, RenewInterval: renewInterval,
 		ResolveTTL: min(resolveTTL, s.ResolveTTLMax.Duration)}, self, follower.Serving, log)
 	return nodes, follower, preparer
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc"
 
 	"cyclamenstream/api/route"
+	"cyclamenstream/internal/crashes"
 	"cyclamenstream/internal/decision"
 	"cyclamenstream/internal/follow"
 	"cyclamenstream/internal/gather"
@@ -55,6 +56,7 @@
 	Roster   *roster.Roster
 	Preparer *prepare.Preparer
 	Requests *gather.Dispatcher
+	Crashes  *crashes.List
 	View     *view
 	Peers    *notice.Datagrams
 	Log      *decision.Log
@@ -131,6 +133,7 @@
 	go l.parts.Peers.Run(ctx)
 	go l.parts.Follower.Run(ctx)
 	go l.parts.Roster.Run(ctx)
+	go l.parts.Crashes.Run(ctx)
 	go l.parts.Preparer.Run(ctx)
 	l.parts.Log.Info("start", "region", s.Region, "caller_listen", s.CallerListen, "registry", s.Registry)
 	return nil
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -35,8 +35,6 @@
 	DirectoryListen string `toml:"directory_listen"`
 	// PeerListen receives the notices of other nodes over UDP, and their questions over TCP.
 	PeerListen string `toml:"peer_listen"`
-	// Seeds are such addresses of a few nodes, which a starting node asks while the registry does not answer.
-	Seeds []string `toml:"seeds"`
 	// MetricsListen serves the metrics; empty serves none.
 	MetricsListen string `toml:"metrics_listen"`
 	// Registry is the address of the platform's store.
@@ -151,9 +149,6 @@
 	if s.MetricsListen != "" {
 		addresses["metrics_listen"] = s.MetricsListen
 	}
-	for i, seed := range s.Seeds {
-		addresses[fmt.Sprintf("seeds[%d]", i)] = seed
-	}
 	for key, value := range addresses {
 		address, err := netip.ParseAddrPort(value)
 		check(err == nil && address.Port() != 0, key, fmt.Sprintf("%q", value), "IP:port")
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -27,8 +27,6 @@
 	Interval time.Duration
 	// Return is how long entries may stay missing after the registry was away before they count as gone.
 	Return time.Duration
-	// Seeds are addresses of nodes that may know the registry, for a node that cannot read it and knows no others.
-	Seeds []string
 }
 
 const (
@@ -82,21 +80,24 @@
 	// registry since then.
 	away, outage bool
 	lostAt       time.Time
-	// asked counts the views that were asked for, so that each next one is asked of another node.
-	asked int
+	// asked counts the views that were asked for, so that each next one is asked of another node, at nextAsk.
+	asked   int
+	nextAsk time.Time
 	// returned is when the last outage ended. held says that the state has entries which were missing since then.
 	returned time.Time
 	held     bool
 	// seen is when each node's entry was last there, by the address that receives its notices.
-	seen     map[string]time.Time
+	seen map[string]time.Time
+	// hints are addresses of nodes that know something, while this one knows nothing.
+	hints    chan string
 	lastTick time.Time
 }
 
 // New returns a follower that reports each change from its own goroutine.
 func New(r registry.Registry, peers cluster.Peers, views cluster.Views, c Config, log *decision.Log, scope tally.Scope, onChange func(registry.State)) *Follower {
 	return &Follower{registry: r, peers: peers, views: views, config: c, log: log, skipped: scope.Gauge("registry_entries_skipped"),
-		seen: map[string]time.Time{},
-		age:  scope.Histogram("view_age", tally.MustMakeExponentialDurationBuckets(250*time.Millisecond, 2, 6)), onChange: onChange}
+		seen: map[string]time.Time{}, hints: make(chan string, 1),
+		age: scope.Histogram("view_age", tally.MustMakeExponentialDurationBuckets(250*time.Millisecond, 2, 6)), onChange: onChange}
 }
 
 // Serving reports whether this node knows enough to serve.
@@ -116,10 +117,16 @@
 		if now := time.Now(); f.due(now) {
 			f.read(ctx)
 		}
+		if now := time.Now(); f.away && !now.Before(f.nextAsk) {
+			f.nextAsk = now.Add(askInterval)
+			f.ask(ctx)
+		}
 		select {
 		case n := <-f.peers.Notices():
 			f.checkPause()
 			f.hear(ctx, n)
+		case address := <-f.hints:
+			f.fetchView(ctx, address)
 		case <-ticker.C:
 		case <-ctx.Done():
 			return
@@ -204,7 +211,6 @@
 		return
 	case err != nil:
 		f.failed(err)
-		f.ask(ctx)
 		return
 	}
 	if f.away {
@@ -245,8 +251,8 @@
 }
 
 // readOnce reads the registry. A node that knows nothing yet starts further reads while the first one waits, since the
-// connection of a call to a registry that was away may stay silent after its return, and asks other nodes meanwhile: then view
-// is what one of them knows.
+// connection of a call to a registry that was away may stay silent after its return, and asks the nodes that have asked it: then
+// view is what one of them knows.
 func (f *Follower) readOnce(ctx context.Context) (state registry.State, view *peerView, err error) {
 	if f.known {
 		state, err = f.registry.Read(ctx)
@@ -257,23 +263,24 @@
 		err   error
 	}
 	answers := make(chan answer, int(callTimeout/firstReadEvery)+1)
-	views := make(chan peerView, cap(answers))
+	views := make(chan peerView)
 	ticker := time.NewTicker(firstReadEvery)
 	defer ticker.Stop()
-	for first := true; ; first = false {
-		go func() {
-			s, err := f.registry.Read(ctx)
-			answers <- answer{s, err}
-		}()
-		if !first {
-			f.askMeanwhile(ctx, views)
-		}
+	read := func() {
+		s, err := f.registry.Read(ctx)
+		answers <- answer{s, err}
+	}
+	go read()
+	for {
 		select {
 		case a := <-answers:
 			return a.state, nil, a.err
 		case v := <-views:
 			return registry.State{}, &v, nil
+		case address := <-f.hints:
+			go f.askMeanwhile(ctx, address, views)
 		case <-ticker.C:
+			go read()
 		case <-ctx.Done():
 			return registry.State{}, nil, ctx.Err()
 		}
--- a/internal/follow/views.go
+++ b/internal/follow/views.go
@@ -2,15 +2,18 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"cyclamenstream/api/cluster"
 	"cyclamenstream/internal/decision"
 )
 
-// viewTimeout bounds the wait for another node's view, its connection included.
-const viewTimeout = 400 * time.Millisecond
+const (
+	// viewTimeout bounds the wait for another node's view, its connection included.
+	viewTimeout = 400 * time.Millisecond
+	// askInterval is the time between two questions while the registry does not answer.
+	askInterval = time.Second
+)
 
 // peerView is the view of the node that listens for its peers at address.
 type peerView struct {
@@ -18,11 +21,19 @@
 	address string
 }
 
-// View returns what this node knows, for a node that knows something already; ok is false while this node knows nothing.
+// View returns what this node knows, for another node; ok is false while this node knows nothing. Then it asks the other node,
+// if that one knows something: nodes that the registry does not answer ask each other in turn, so that one which starts meanwhile
+// is found.
 func (f *Follower) View(known cluster.Known) (v cluster.View, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.known {
+		if known.Digest != 0 {
+			select {
+			case f.hints <- known.Address:
+			default: // another node is asked already
+			}
+		}
 		return v, false
 	}
 	v = cluster.View{State: f.state, Same: digest(f.state) == known.Digest, Confirmed: !f.confirmed.IsZero()}
@@ -32,40 +43,28 @@
 	return v, true
 }
 
-// ask asks the next node for its view, since the registry does not answer this one.
+// ask asks the next one of the other nodes for its view, since the registry does not answer this one. Nodes of different rank ask
+// different ones at a time.
 func (f *Follower) ask(ctx context.Context) {
-	if address, ok := f.nextPeer(); ok {
-		f.fetchView(ctx, address)
-	}
-}
-
-// askMeanwhile asks the next node without waiting for its answer.
-func (f *Follower) askMeanwhile(ctx context.Context, views chan<- peerView) {
-	address, ok := f.nextPeer()
-	if !ok {
+	addresses := f.addresses()
+	if len(addresses) == 0 {
 		return
 	}
-	go func() {
-		// A node that does not answer is of no concern: the registry may, and further nodes are asked.
-		if v, err := f.views.Fetch(ctx, address, cluster.Known{}); err == nil {
-			views <- peerView{v, address}
-		}
-	}()
+	f.asked++
+	f.fetchView(ctx, addresses[(f.rank()+f.asked)%len(addresses)])
 }
 
-// nextPeer returns the address of another node, of each in turn.
-func (f *Follower) nextPeer() (string, bool) {
-	addresses := f.addresses()
-	for _, s := range f.config.Seeds {
-		if s != f.config.Address && !slices.Contains(addresses, s) {
-			addresses = append(addresses, s)
-		}
+// askMeanwhile asks a node and hands over its view unless ctx ends.
+func (f *Follower) askMeanwhile(ctx context.Context, address string, views chan<- peerView) {
+	v, err := f.views.Fetch(ctx, address, cluster.Known{Address: f.config.Address})
+	if err != nil {
+		f.log.Info("view_fetch", "address", address, "error", err.Error())
+		return
 	}
-	if len(addresses) == 0 {
-		return "", false
+	select {
+	case views <- peerView{v, address}:
+	case <-ctx.Done():
 	}
-	f.asked++
-	return addresses[f.asked%len(addresses)], true
 }
 
 // fetchView asks a node for its view and reports whether that one is certain.
@@ -73,7 +72,7 @@
 	call, cancel := context.WithTimeout(ctx, viewTimeout)
 	defer cancel()
 	began := time.Now()
-	known := cluster.Known{ConfigVersion: version(f.state)}
+	known := cluster.Known{ConfigVersion: version(f.state), Address: f.config.Address}
 	if f.known {
 		known.Digest = digest(f.state)
 	}
--- a/internal/gather/fetch.go
+++ b/internal/gather/fetch.go
@@ -166,6 +166,10 @@
 	if time.Until(f.deadline) < minLeafBudget {
 		return errNotSent
 	}
+	if err := f.d.Crashes.Check(f.digest); err != nil {
+		f.trace.Add(decision.Step{Event: reason, Service: f.service, Outcome: verdict.Message(err)})
+		return errNotSent
+	}
 	if !f.d.Extra.Allow(f.service, f.d.Config.RetryShare) {
 		f.d.counters.denied.Inc(1)
 		f.trace.Add(decision.Step{Event: reason, Service: f.service, Outcome: "no budget"})
@@ -224,10 +228,21 @@
 		outcome.Load = s.reply.Load
 	}
 	ticket.Done(outcome)
+	f.noteCrash(s)
 	f.d.counters.send(s.kind)
 	f.results <- s
 }
 
+// noteCrash follows whether the request crashes the leaves that run it.
+func (f *fetch) noteCrash(s sent) {
+	switch {
+	case s.kind == direct.Answered || s.kind == direct.Failed && s.err == nil:
+		f.d.Crashes.Answered(f.digest)
+	case s.kind == direct.Broken && !s.attempt.Verdict().IsNotRun():
+		f.d.Crashes.Broke(f.digest, f.request.ID, s.ticket.Leaf())
+	}
+}
+
 func (f *fetch) kindOf(s sent) direct.Kind {
 	switch {
 	case errors.Is(s.err, exchange.ErrRefused):
--- a/internal/gather/gather.go
+++ b/internal/gather/gather.go
@@ -12,6 +12,7 @@
 	"cyclamenstream/api/exchange"
 	"cyclamenstream/api/route"
 	"cyclamenstream/api/verdict"
+	"cyclamenstream/internal/crashes"
 	"cyclamenstream/internal/decision"
 	"cyclamenstream/internal/direct"
 	"cyclamenstream/internal/fanout/budget"
@@ -42,8 +43,10 @@
 	Table func() *routing.Index
 	// Extra limits repeated sends.
 	Extra *budget.Bucket
-	Log   *decision.Log
-	Scope tally.Scope
+	// Crashes refuses requests that crash leaves.
+	Crashes *crashes.List
+	Log     *decision.Log
+	Scope   tally.Scope
 }
 
 // Dispatcher implements exchange.Server.
@@ -84,6 +87,10 @@
 	if target == nil {
 		return d.finish(nil, r, trace, exchange.Answer{Err: verdict.Refusef(verdict.CodeUnknown, "no route for host %q and path %q", r.Host, r.Path)})
 	}
+	digest := crashes.Digest(r)
+	if err := d.Crashes.Check(digest); err != nil {
+		return d.finish(target, r, trace, d.refusal(err))
+	}
 	trace.Add(decision.Step{Event: "route", Service: target.Service, InputName: "config_version", Input: index.Table().Version, Outcome: target.Name})
 	deadline := r.Deadline
 	if t := r.Received.Add(target.Timeout); target.Timeout > 0 && t.Before(deadline) {
@@ -92,7 +99,7 @@
 	deadline = deadline.Add(-timeoutMargin)
 	sends, release := sendContext(ctx, d.ended, deadline)
 	defer release()
-	run := &run{d: d, request: r, route: target, trace: trace, deadline: deadline, sends: sends}
+	run := &run{d: d, request: r, digest: digest, route: target, trace: trace, deadline: deadline, sends: sends}
 	if len(target.Gather) > 0 {
 		return d.finish(target, r, trace, run.gather(ctx))
 	}
@@ -117,9 +124,13 @@
 func (d *Dispatcher) refusal(err error) exchange.Answer {
 	a := exchange.Answer{Err: err}
 	if verdict.Of(err).IsNotRun() {
-		a.RetryAfter = d.Config.RetryAfterBusy
-		if verdict.CodeOf(err) == verdict.CodeNoConfig {
+		switch verdict.CodeOf(err) {
+		case verdict.CodeNoConfig:
 			a.RetryAfter = d.Config.RetryAfterNoConfig
+		case verdict.CodeQuarantined:
+			a.RetryAfter = crashes.Period
+		default:
+			a.RetryAfter = d.Config.RetryAfterBusy
 		}
 	}
 	return a
@@ -182,8 +193,10 @@
 
 // run is one request under way.
 type run struct {
-	d        *Dispatcher
-	request  *exchange.Request
+	d       *Dispatcher
+	request *exchange.Request
+	// digest stands for what the request asks.
+	digest   uint64
 	route    *route.Route
 	trace    *decision.Trace
 	deadline time.Time
--- a/internal/notice/encoding.go
+++ b/internal/notice/encoding.go
@@ -10,10 +10,20 @@
 	"cyclamenstream/gen/noticepb"
 )
 
-func encode(n cluster.Notice) *noticepb.Notice {
-	return &noticepb.Notice{Sender: n.Sender, Revision: n.Revision, Digest: n.Digest, Base: n.Base, Partial: n.Partial, More: n.More,
+func encode(n cluster.Notice) *noticepb.Datagram {
+	m := &noticepb.Notice{Sender: n.Sender, Revision: n.Revision, Digest: n.Digest, Base: n.Base, Partial: n.Partial, More: n.More,
 		ConfigVersion: n.ConfigVersion, Evacuated: n.Evacuated, LeavesGone: n.LeavesGone, MembersGone: n.MembersGone,
 		Leaves: encodeLeaves(n.Leaves), Members: encodeMembers(n.Members)}
+	return &noticepb.Datagram{Content: &noticepb.Datagram_Notice{Notice: m}}
+}
+
+func encodeCrash(c cluster.Crash) *noticepb.Datagram {
+	m := &noticepb.Crash{Request: c.Request, Attempt: c.Attempt, Leaf: c.Leaf, Boot: c.Boot, Answered: c.Answered}
+	return &noticepb.Datagram{Content: &noticepb.Datagram_Crash{Crash: m}}
+}
+
+func decodeCrash(m *noticepb.Crash) cluster.Crash {
+	return cluster.Crash{Request: m.Request, Attempt: m.Attempt, Leaf: m.Leaf, Boot: m.Boot, Answered: m.Answered}
 }
 
 func decode(m *noticepb.Notice) cluster.Notice {
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -1,6 +1,6 @@
 // Package notice carries what nodes tell each other of the registry. Notices travel in datagrams: one that is lost costs its
-// receiver one read of the registry, so that no connections need to be kept between all nodes. Whole views are asked for over
-// gRPC.
+// receiver one read of the registry, so that no connections need to be kept between all nodes. So do crashes, which are told more
+// than once. Whole views are asked for over gRPC.
 package notice
 
 import (
@@ -23,16 +23,20 @@
 	queued = 128
 )
 
-// Datagrams implements cluster.Peers over UDP.
+// Datagrams implements cluster.Peers and cluster.Crashes over UDP.
 type Datagrams struct {
 	conn     *net.UDPConn
 	received chan cluster.Notice
+	crashes  chan cluster.Crash
 	sent     tally.Counter
 	dropped  tally.Counter
 	log      *decision.Log
 }
 
-var _ cluster.Peers = (*Datagrams)(nil)
+var (
+	_ cluster.Peers   = (*Datagrams)(nil)
+	_ cluster.Crashes = (*Datagrams)(nil)
+)
 
 // Listen opens the socket at address (IP:port).
 func Listen(address string, log *decision.Log, scope tally.Scope) (*Datagrams, error) {
@@ -44,7 +48,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Datagrams{conn: conn, received: make(chan cluster.Notice, queued), log: log,
+	return &Datagrams{conn: conn, received: make(chan cluster.Notice, queued),
+		crashes: make(chan cluster.Crash, queued), log: log,
 		sent: scope.Counter("notices_sent"), dropped: scope.Counter("notices_dropped")}, nil
 }
 
@@ -62,31 +67,36 @@
 			}
 			continue
 		}
-		var m noticepb.Notice
+		var m noticepb.Datagram
 		if err := proto.Unmarshal(buffer[:n], &m); err != nil {
 			d.dropped.Inc(1)
 			continue
 		}
-		notice := decode(&m)
-		notice.From = from.String()
-		d.queue(notice)
+		switch content := m.Content.(type) {
+		case *noticepb.Datagram_Notice:
+			notice := decode(content.Notice)
+			notice.From = from.String()
+			queue(d.received, notice, d.dropped)
+		case *noticepb.Datagram_Crash:
+			queue(d.crashes, decodeCrash(content.Crash), d.dropped)
+		}
 	}
 }
 
 // receiveRetry is the pause after a failed receive.
 const receiveRetry = 100 * time.Millisecond
 
-// queue drops the oldest notice when the channel is full.
-func (d *Datagrams) queue(n cluster.Notice) {
+// queue drops the oldest element when the channel is full.
+func queue[E any](c chan E, e E, dropped tally.Counter) {
 	for {
 		select {
-		case d.received <- n:
+		case c <- e:
 			return
 		default:
 		}
 		select {
-		case <-d.received:
-			d.dropped.Inc(1)
+		case <-c:
+			dropped.Inc(1)
 		default:
 		}
 	}
@@ -102,6 +112,20 @@
 		n.Partial, n.Leaves, n.LeavesGone, n.Members, n.MembersGone, n.Evacuated = true, nil, nil, nil, nil, nil
 		payload, err = proto.Marshal(encode(n))
 	}
+	d.send(addresses, payload, err)
+}
+
+// Crashes implements cluster.Crashes.
+func (d *Datagrams) Crashes() <-chan cluster.Crash { return d.crashes }
+
+// TellCrash implements cluster.Crashes.
+func (d *Datagrams) TellCrash(addresses []string, c cluster.Crash) {
+	payload, err := proto.Marshal(encodeCrash(c))
+	d.send(addresses, payload, err)
+}
+
+// send sends a payload, unless its encoding failed.
+func (d *Datagrams) send(addresses []string, payload []byte, err error) {
 	if err != nil {
 		d.log.Error("notice_encode", "error", err.Error())
 		return
--- a/internal/notice/notice_test.go
+++ b/internal/notice/notice_test.go
@@ -90,3 +90,18 @@
 		c.Assert(n.Sender, qt.Equals, "") // an empty datagram is an empty notice
 	}
 }
+
+// Guards against a crash that arrives as something else, or in part.
+func TestCrashArrivesWhole(t *testing.T) {
+	from, _ := open(t)
+	to, address := open(t)
+	for _, sent := range []cluster.Crash{{Request: 1 << 63, Attempt: "q1", Leaf: "l1", Boot: 17}, {Request: 5, Answered: true}} {
+		from.TellCrash([]string{address}, sent)
+		select {
+		case got := <-to.Crashes():
+			qt.Assert(t, got, qt.DeepEquals, sent)
+		case <-time.After(5 * time.Second):
+			t.Fatal("no crash within 5 s")
+		}
+	}
+}
--- a/internal/notice/views.go
+++ b/internal/notice/views.go
@@ -54,14 +54,15 @@
 	}
 	// The only call has ended; nothing is lost with the connection.
 	defer func() { _ = conn.Close() }()
-	m, err := noticepb.NewViewsClient(conn).Get(ctx, &noticepb.ViewRequest{Digest: known.Digest, ConfigVersion: known.ConfigVersion})
+	m, err := noticepb.NewViewsClient(conn).Get(ctx, &noticepb.ViewRequest{Digest: known.Digest, ConfigVersion: known.ConfigVersion,
+		Address: known.Address})
 	if err != nil {
 		return cluster.View{}, err
 	}
 	return decodeView(m)
 }
 
-// Source returns this node's view for a node that knows something already; ok is false while this node knows nothing.
+// Source returns this node's view for another node; ok is false while this node knows nothing.
 type Source func(known cluster.Known) (v cluster.View, ok bool)
 
 type viewServer struct {
@@ -78,7 +79,7 @@
 
 // Get implements noticepb.ViewsServer.
 func (s *viewServer) Get(_ context.Context, r *noticepb.ViewRequest) (*noticepb.View, error) {
-	known := cluster.Known{Digest: r.Digest, ConfigVersion: r.ConfigVersion}
+	known := cluster.Known{Digest: r.Digest, ConfigVersion: r.ConfigVersion, Address: r.Address}
 	v, ok := s.source(known)
 	if !ok {
 		return nil, status.Error(codes.Unavailable, "this node knows nothing of the registry yet")
