--- a/cmd/cyclamenstream/entry.go
+++ b/cmd/cyclamenstream/entry.go
@@ -23,6 +23,10 @@
 // entryMemoryShare is the part of the VM's memory above which garbage is collected more often.
 const entryMemoryShare = 0.6
 
+// entryGCPercent is how much the heap grows between collections, in percent of what is live. Memory is dearer than processor time
+// on small VMs.
+const entryGCPercent = 50
+
 // Run runs an entry node until the process is told to stop.
 func (c *entryCommand) Run(ctx context.Context) error {
 	s, err := entry.Load(c.Settings)
@@ -30,6 +34,7 @@
 		return &exitError{exitUsage, err.Error()}
 	}
 	debug.SetMemoryLimit(int64(entryMemoryShare * float64(s.MemoryLimit<<20)))
+	debug.SetGCPercent(entryGCPercent)
 	application := entry.New(s, c.Settings)
 	if err := application.Err(); err != nil {
 		return err
