Plan answers earlier on nodes that are late by themselves

Change: the dispatcher follows how much later than planned answers are ready, and plans the next ones sooner by four times that: the request has waited before it was read, and the answer waits to be written.

--- a/internal/gather/gather.go
+++ b/internal/gather/gather.go
@@ -54,6 +54,7 @@
 	Deps
 	counters counters
 	served   atomic.Uint64
+	lag      lag
 	// ended is over once requests must not wait for leaves any more.
 	ended context.Context
 	end   context.CancelFunc
@@ -230,15 +231,16 @@
 		go func() { parts <- part{service, r.fetch(fetching, service)} }()
 	}
 	m := merger{total: len(services), least: r.route.MinShare}
-	cutoff := time.NewTimer(time.Until(r.cutoff()))
-	defer cutoff.Stop()
-	late := false
+	cutoff := r.cutoff()
+	near := time.NewTimer(time.Until(cutoff))
+	defer near.Stop()
+	late, prompt := false, false // prompt answers leave at the cutoff, without waiting for further parts
 	for !m.settled(late) {
 		select {
 		case p := <-parts:
 			m.add(p)
-		case <-cutoff.C:
-			late = true
+		case <-near.C:
+			late, prompt = true, m.enough()
 			r.trace.Add(decision.Step{Event: "target_near", InputName: "parts", Input: len(m.replies), Outcome: "answer with what is enough"})
 		case <-ctx.Done():
 			return exchange.Answer{Err: r.left()}
@@ -250,7 +252,11 @@
 	if !m.enough() {
 		return r.d.refusal(m.err(r.route.Name))
 	}
-	return exchange.Answer{Gathered: m.answer(r.route.Top)}
+	gathered := m.answer(r.route.Top)
+	if prompt {
+		r.d.lag.note(time.Since(cutoff))
+	}
+	return exchange.Answer{Gathered: gathered}
 }
 
 // cutoff is when an answer must leave to reach the caller within its target.
@@ -258,7 +264,7 @@
 	if r.route.Target <= 0 {
 		return r.deadline
 	}
-	margin := r.d.Config.AnswerMargin
+	margin := r.d.Config.AnswerMargin + r.d.lag.margin()
 	if r.request.First {
 		margin += r.d.Config.OpenMargin
 	}
