Apply the operators' limits on header time and idle time

Cause: two of the four limits that operators write were read and not applied; fixed values of 10 s and 2 min held instead. Change: the deadlines that net/http sets on a caller's connection are brought forward to the operators' limits as they are at that moment. Test, failing before: entry.TestLimitsOnTime.

--- /dev/null
+++ b/internal/entry/callerconn_test.go
@@ -0,0 +1,73 @@
+package entry
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cyclamenstream/internal/standin/site"
+)
+
+const (
+	headerLimit = 300 * time.Millisecond
+	idleLimit   = 800 * time.Millisecond
+)
+
+// closedAfter reads until the node closes the connection, and returns how long that took.
+func closedAfter(t *testing.T, c net.Conn) time.Duration {
+	began := time.Now()
+	if err := c.SetReadDeadline(began.Add(5 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	for {
+		if _, err := c.Read(make([]byte, 512)); err != nil {
+			return time.Since(began)
+		}
+	}
+}
+
+// Guards against callers that hold connections for longer than the operators allow, and against connections that are closed sooner.
+func TestLimitsOnTime(t *testing.T) {
+	c := qt.New(t)
+	store := site.NewStore()
+	defer store.Close()
+	limits := fmt.Sprintf(`"max_body_bytes":1000,"header_timeout_ms":%d,"idle_timeout_ms":%d`, headerLimit.Milliseconds(), idleLimit.Milliseconds())
+	config := strings.Replace(fmt.Sprintf(testConfig, 1), `"max_body_bytes":1000`, limits, 1)
+	store.Put("op/config", []byte(config))
+	l := site.NewLeaf(store, "l1", "s1", "z1")
+	defer l.Close()
+	n := start(t, "n1", store)
+	defer n.stop(t)
+	eventually(t, "ready", func() bool { status, _ := get("http://" + n.settings.ReadyListen + "/api/ready"); return status == 200 })
+	open := func() net.Conn {
+		conn, err := net.Dial("tcp", n.settings.CallerListen)
+		c.Assert(err, qt.IsNil)
+		return conn
+	}
+
+	slow := open()
+	_, err := slow.Write([]byte("GET /one/ HTTP/1.1\r\nHost: a.example\r\n"))
+	c.Assert(err, qt.IsNil)
+	took := closedAfter(t, slow)
+	c.Check(took > headerLimit/2 && took < idleLimit, qt.IsTrue, qt.Commentf("an unfinished header: %v", took))
+
+	kept := open()
+	answers := bufio.NewReader(kept)
+	for i := range 3 {
+		_, err := fmt.Fprintf(kept, "GET /one/ HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: q%d\r\nX-Request-Deadline: 900\r\n\r\n", i)
+		c.Assert(err, qt.IsNil)
+		response, err := http.ReadResponse(answers, nil)
+		c.Assert(err, qt.IsNil)
+		c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
+		c.Assert(response.Body.Close(), qt.IsNil)
+		time.Sleep(idleLimit * 3 / 5)
+	}
+	took = closedAfter(t, kept)
+	c.Check(took > idleLimit/5 && took < 3*idleLimit, qt.IsTrue, qt.Commentf("an idle connection: %v", took))
+}
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -27,7 +27,7 @@
 	maxCallerHeader = 64 << 10
 	// defaultBodyBytes applies while no configuration is known.
 	defaultBodyBytes = 256 << 10
-	// headerTimeout and idleTimeout free the connections of callers that fell silent.
+	// headerTimeout and idleTimeout free the connections of callers that fell silent; the operators' limits may be shorter.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 2 * time.Minute
 	// closeAfter is when a stopping node begins to end the connections of its callers: by then most have a new answer
@@ -78,7 +78,7 @@
 	l := &lifecycle{parts: p}
 	l.front = platform.NewFront(p.Requests, l.limits)
 	l.callers = newServer(l.front)
-	l.callers.ConnContext = platform.ConnContext
+	l.callers.ConnContext, l.callers.ConnState = platform.ConnContext, connState
 	return l
 }
 
@@ -110,10 +110,12 @@
 		if err != nil {
 			return err
 		}
-		go l.serve(server, listener)
-		if server != l.callers {
+		if server == l.callers {
+			listener = callerListener{listener, l.limits}
+		} else {
 			l.others = append(l.others, server)
 		}
+		go l.serve(server, listener)
 	}
 	peers, err := net.Listen("tcp", s.PeerListen)
 	if err != nil {
