Test a crashing request on the whole path

Three nodes over HTTP, a store and leaves that crash whenever they run one request: after two attempts no leaf gets it again at any node, and other requests are served.

--- a/internal/standin/site/leaf.go
+++ b/internal/standin/site/leaf.go
@@ -26,6 +26,10 @@
 	// advertised is the address in the leaf's entry; empty for its own.
 	advertised string
 	budgets    []string // the time budgets that came with them
+	// crashPath is the path of the requests that crash the leaf; empty for none.
+	crashPath string
+	store     *Store
+	born      int
 }
 
 // Fault is what a leaf does wrong.
@@ -44,7 +48,7 @@
 
 // NewLeaf starts a leaf and registers it.
 func NewLeaf(store *Store, id, service, zone string) *Leaf {
-	l := &Leaf{ID: id, Service: service, Zone: zone, Slots: 4}
+	l := &Leaf{ID: id, Service: service, Zone: zone, Slots: 4, store: store, born: 1}
 	l.server = httptest.NewServer(http.HandlerFunc(l.serve))
 	l.Register(store, "ready")
 	return l
@@ -53,10 +57,10 @@
 // Register writes the leaf's entry with a state.
 func (l *Leaf) Register(store *Store, state string) {
 	l.mu.Lock()
-	address := cmp.Or(l.advertised, l.Address())
+	address, born := cmp.Or(l.advertised, l.Address()), l.born
 	l.mu.Unlock()
 	store.Put("servers/"+l.ID, map[string]any{"service": l.Service, "address": address, "zone": l.Zone, "version": "v1",
-		"slots": l.Slots, "state": state, "warmup_left_ms": 0, "sequence": 1, "born": 1})
+		"slots": l.Slots, "state": state, "warmup_left_ms": 0, "sequence": 1, "born": born})
 }
 
 // Address returns host:port.
@@ -96,6 +100,24 @@
 	return append([]string(nil), l.runs...)
 }
 
+// CrashOn makes the leaf crash whenever it runs a request with the path: all its connections break, and it is there again at
+// once, as another start.
+func (l *Leaf) CrashOn(path string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.crashPath = path
+}
+
+func (l *Leaf) crash() {
+	l.mu.Lock()
+	l.born++
+	l.mu.Unlock()
+	l.Register(l.store, "ready")
+	// It ends the connection of the caller of this method too, so it must not wait for that one.
+	go l.server.CloseClientConnections()
+	panic(http.ErrAbortHandler)
+}
+
 // Budgets returns the time budgets in milliseconds that came with the requests.
 func (l *Leaf) Budgets() []string {
 	l.mu.Lock()
@@ -117,6 +139,7 @@
 	l.arrivals = append(l.arrivals, id)
 	l.budgets = append(l.budgets, r.Header.Get("X-Request-Deadline"))
 	fault, delay := l.fault, l.delay
+	crashes := l.crashPath != "" && r.URL.Path == l.crashPath
 	l.mu.Unlock()
 	w.Header().Set("X-Request-Id", id)
 	if expected := r.Header.Get("X-Expect-Instance"); expected != l.ID {
@@ -128,6 +151,9 @@
 		l.runs = append(l.runs, id)
 		l.mu.Unlock()
 	}
+	if crashes {
+		l.crash()
+	}
 	select {
 	case <-time.After(delay):
 	case <-r.Context().Done():
