--- a/internal/proctest/process.go
+++ b/internal/proctest/process.go
@@ -30,6 +30,8 @@
 
 	mu    sync.Mutex
 	lines []string
+	// reading is held while nobody reads the outputs.
+	reading sync.Mutex
 }
 
 // StartProcess runs a program. It is killed at the end of the test, or if the test binary ends.
@@ -72,12 +74,14 @@
 			first <- scanner.Text()
 			first = nil
 		}
+		p.reading.Lock()
 		p.mu.Lock()
 		p.lines = append(p.lines, scanner.Text())
 		if len(p.lines) > maxLogLines {
 			p.lines = p.lines[len(p.lines)-maxLogLines:]
 		}
 		p.mu.Unlock()
+		p.reading.Unlock()
 	}
 }
 
@@ -119,6 +123,12 @@
 	}
 }
 
+// StopReading leaves the process's outputs unread until resume is called, so that its pipes fill up.
+func (p *Process) StopReading() (resume func()) {
+	p.reading.Lock()
+	return p.reading.Unlock
+}
+
 // Kill ends the process at once and waits until it is gone.
 func (p *Process) Kill() {
 	p.Signal(syscall.SIGKILL)
--- /dev/null
+++ b/internal/soak/log_test.go
@@ -0,0 +1,60 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cyclamenstream/internal/standin/site"
+)
+
+// Guards against requests that wait for the log: nobody reads a node's output while each of its requests writes several lines.
+func TestUnreadLog(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	const (
+		callers = 8
+		asked   = 250 // of each caller: some thousand lines, more than the pipe and the queue hold
+	)
+	w := newWorld(t)
+	for _, l := range w.leaves {
+		l.Set(site.Fail, 0)
+	}
+	n := w.nodes[0]
+	p, _ := n.current()
+	resume := p.StopReading()
+	var running sync.WaitGroup
+	var mu sync.Mutex
+	var slowest time.Duration
+	for i := range callers {
+		running.Go(func() {
+			client := &http.Client{Timeout: callerTimeout}
+			for k := range asked {
+				began := time.Now()
+				response, _, err := n.ask(client, "/one/", fmt.Sprintf("u%d.%d", i, k))
+				took := time.Since(began)
+				mu.Lock()
+				slowest = max(slowest, took)
+				mu.Unlock()
+				switch {
+				case err != nil:
+					t.Error(err)
+				case response.StatusCode != http.StatusInternalServerError:
+					t.Errorf("status %d", response.StatusCode)
+				}
+			}
+		})
+	}
+	running.Wait()
+	resume()
+	if slowest >= callerTimeout/2 {
+		t.Errorf("the slowest answer took %v", slowest)
+	}
+	w.await("the node tells how many lines it has dropped", func() bool {
+		return strings.Contains(strings.Join(p.Log(), "\n"), "log_dropped")
+	})
+}
