--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -95,6 +95,7 @@
 	if asked == 0 || float64(served) < servedAfter*float64(asked) {
 		t.Errorf("after the faults %d of %d requests are served", served, asked)
 	}
+	w.checkShort(c)
 	w.checkDrain()
 	c.stop()
 	for _, b := range c.verify() {
@@ -103,6 +104,30 @@
 	t.Logf("seed %d: %d of %d requests served; faults: %v", seed, c.served.Load(), c.asked.Load(), f.told)
 }
 
+// checkShort lets all leaves of one service fail, and checks that every node says that its part is missing.
+func (w *world) checkShort(c *callers) {
+	failing := services[1]
+	for _, l := range w.leaves {
+		if l.Service == failing {
+			l.Set(site.Fail, 0)
+			defer l.Set(site.Sound, 0)
+		}
+	}
+	client := &http.Client{Timeout: callerTimeout}
+	for _, n := range w.nodes {
+		id := "short-" + n.name
+		response, body, err := n.ask(client, "/all/", id)
+		switch {
+		case err != nil:
+			w.t.Errorf("%s: %v", id, err)
+		case response.StatusCode != http.StatusOK || response.Header.Get("X-Missing-Parts") != "1":
+			w.t.Errorf("%s: status %d, missing parts %q while service %s fails", id, response.StatusCode, response.Header.Get("X-Missing-Parts"), failing)
+		default:
+			c.check("/all/", id, response, body)
+		}
+	}
+}
+
 // checkDrain lets a leaf leave and an availability zone be evacuated, and checks that they get nothing once the bound has passed.
 func (w *world) checkDrain() {
 	leaf := w.leaves["s1z1"]
