--- a/internal/crashes/crashes.go
+++ b/internal/crashes/crashes.go
@@ -70,7 +70,8 @@
 
 	mu       sync.Mutex
 	broken   map[start][]brokenOff
-	count    int // of all in broken
+	pending  map[uint64]int // entries of broken by request
+	count    int            // entries of broken
 	suspects map[uint64]*suspect
 }
 
@@ -100,7 +101,7 @@
 
 // New returns an empty list.
 func New(c Config) *List {
-	return &List{config: c, broken: map[start][]brokenOff{}, suspects: map[uint64]*suspect{}}
+	return &List{config: c, broken: map[start][]brokenOff{}, pending: map[uint64]int{}, suspects: map[uint64]*suspect{}}
 }
 
 // Run takes the crashes that other nodes have found, and repeats this node's own, until ctx ends.
@@ -141,6 +142,7 @@
 		return
 	}
 	l.count++
+	l.pending[request]++
 	l.watch()
 	at := start{leaf.ID, leaf.Boot}
 	l.broken[at] = append(l.broken[at], brokenOff{request, attempt, l.config.Now()})
@@ -162,16 +164,30 @@
 			l.config.Peers.TellCrash(l.config.Addresses(), c)
 		}
 	}
-	l.drop(at)
+	l.drop(at, every)
 }
 
-// drop forgets what broke off at a leaf.
-func (l *List) drop(at start) {
-	l.count -= len(l.broken[at])
-	delete(l.broken, at)
+// drop forgets what broke off at a leaf, of the given requests.
+func (l *List) drop(at start, which func(brokenOff) bool) {
+	kept := slices.DeleteFunc(l.broken[at], func(b brokenOff) bool {
+		if !which(b) {
+			return false
+		}
+		l.count--
+		if l.pending[b.request]--; l.pending[b.request] == 0 {
+			delete(l.pending, b.request)
+		}
+		return true
+	})
+	l.broken[at] = kept
+	if len(kept) == 0 {
+		delete(l.broken, at)
+	}
 	l.watch()
 }
 
+func every(brokenOff) bool { return true }
+
 func (l *List) watch() { l.watching.Store(int64(len(l.suspects) + l.count)) }
 
 // Answered notes that a leaf has answered a request: it does not crash the leaves that run it.
@@ -181,15 +197,11 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for at, list := range l.broken {
-		kept := slices.DeleteFunc(list, func(b brokenOff) bool { return b.request == request })
-		l.count -= len(list) - len(kept)
-		l.broken[at] = kept
-		if len(kept) == 0 {
-			delete(l.broken, at)
+	if l.pending[request] > 0 {
+		for at := range l.broken {
+			l.drop(at, func(b brokenOff) bool { return b.request == request })
 		}
 	}
-	l.watch()
 	if l.suspects[request] == nil {
 		return
 	}
@@ -246,10 +258,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.config.Now()
-	for at, list := range l.broken {
-		if now.Sub(list[len(list)-1].at) > downWithin {
-			l.drop(at)
-		}
+	for at := range l.broken {
+		l.drop(at, func(b brokenOff) bool { return now.Sub(b.at) > downWithin })
 	}
 	for request, s := range l.suspects {
 		if now.After(s.until) {
--- a/internal/notice/encoding.go
+++ b/internal/notice/encoding.go
@@ -61,7 +61,7 @@
 	var list []*noticepb.Leaf
 	for _, l := range leaves {
 		list = append(list, &noticepb.Leaf{Id: l.ID, Service: l.Service, Address: l.Address, Zone: l.Zone,
-			Slots: uint32(l.Slots), Draining: l.Draining, WarmupLeftMs: uint32(l.WarmupLeft.Milliseconds()), Boot: l.Boot, Revision: l.Revision})
+			Slots: uint32(l.Slots), Draining: l.Draining, ColdForMs: uint32(l.WarmupLeft.Milliseconds()), Boot: l.Boot, Revision: l.Revision})
 	}
 	return list
 }
@@ -70,7 +70,7 @@
 	var list []registry.Leaf
 	for _, l := range leaves {
 		list = append(list, registry.Leaf{ID: l.Id, Service: l.Service, Address: l.Address, Zone: l.Zone,
-			Slots: int(l.Slots), Draining: l.Draining, WarmupLeft: time.Duration(l.WarmupLeftMs) * time.Millisecond, Boot: l.Boot, Revision: l.Revision})
+			Slots: int(l.Slots), Draining: l.Draining, WarmupLeft: time.Duration(l.ColdForMs) * time.Millisecond, Boot: l.Boot, Revision: l.Revision})
 	}
 	return list
 }
