Ask for views only while the registry answers others, and not when notices arrive

A node whose last read had failed counted as away until its own next read, which notices make needless: after any outage it asked another node each second for good, and each changed notice made all nodes ask its sender at once. Change: nodes ask each second only when no notice has confirmed their state for two intervals; and about a notice only if the registry has not answered them since they know that it answers others: first the next node in turn, then the sender. Test, failing before with 103 questions in 10 s: follow.TestViewsAreNotAskedForAfterAnOutage.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -75,10 +75,10 @@
 
 	next  time.Time // earliest time of the next read
 	pause time.Duration
-	// away says that this node's last read failed, the first time at lostAt; outage that nobody is known to have read the
-	// registry since then.
-	away, outage bool
-	lostAt       time.Time
+	// away says that this node's last read failed, at failedAt and the first time at lostAt; outage that nobody is known to have
+	// read the registry since then.
+	away, outage     bool
+	lostAt, failedAt time.Time
 	// asked counts the views that were asked for, so that each next one is asked of another node, at nextAsk.
 	asked   int
 	nextAsk time.Time
@@ -116,7 +116,7 @@
 		if now := time.Now(); f.due(now) {
 			f.read(ctx)
 		}
-		if now := time.Now(); f.away && !now.Before(f.nextAsk) {
+		if now := time.Now(); f.away && now.Sub(f.confirmed) >= askAge*f.config.Interval && !now.Before(f.nextAsk) {
 			f.nextAsk = now.Add(askInterval)
 			f.ask(ctx)
 		}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -99,6 +99,8 @@
 	nodes map[string]chan cluster.Notice
 	cut   map[string]bool
 	views map[string]*Follower
+	// fetched counts the questions for views.
+	fetched int
 }
 
 type port struct {
@@ -129,6 +131,7 @@
 // Fetch implements cluster.Views.
 func (p port) Fetch(_ context.Context, address string, known cluster.Known) (cluster.View, error) {
 	p.mu.Lock()
+	p.fetched++
 	other, cut := p.views[address], p.cut[p.self] || p.cut[address]
 	p.mu.Unlock()
 	if other == nil || cut {
--- a/internal/follow/news.go
+++ b/internal/follow/news.go
@@ -56,7 +56,8 @@
 		return // the last notice of the read tells whether this node is behind
 	}
 	f.log.Info("notice_unknown", "sender", n.Sender, "revision", n.Revision, "known", f.state.Revision)
-	if f.away && f.fetchView(ctx, n.From) {
+	// The sender knows for certain, but is not asked by all that the registry refuses.
+	if f.refusedAlone() && (f.ask(ctx) || f.fetchView(ctx, n.From)) {
 		return
 	}
 	f.confirm(time.Time{})
@@ -84,9 +85,9 @@
 }
 
 // fetchTable reads the routing configuration of a known version: cheaply if that is not too old. It does not try while the
-// registry does not answer this node.
+// registry answers others only.
 func (f *Follower) fetchTable(ctx context.Context, s *registry.State, wanted uint64) bool {
-	if f.away {
+	if f.refusedAlone() {
 		return false
 	}
 	for _, freshness := range []registry.Freshness{registry.Cheap, registry.Exact} {
--- a/internal/follow/read.go
+++ b/internal/follow/read.go
@@ -99,6 +99,7 @@
 }
 
 func (f *Follower) failed(err error) {
+	f.failedAt = time.Now()
 	if !f.away {
 		f.away, f.outage, f.lostAt = true, true, time.Now()
 		f.log.Warn("registry_lost", "error", err.Error(), "revision", f.state.Revision)
--- a/internal/follow/views.go
+++ b/internal/follow/views.go
@@ -11,8 +11,10 @@
 const (
 	// viewTimeout bounds the wait for another node's view, its connection included.
 	viewTimeout = 400 * time.Millisecond
-	// askInterval is the time between two questions while the registry does not answer.
+	// askInterval is the time between two questions while the registry does not answer and no notice has confirmed the state
+	// for askAge intervals of reads.
 	askInterval = time.Second
+	askAge      = 2
 )
 
 // peerView is the view of the node that listens for its peers at address.
@@ -43,15 +45,18 @@
 	return v, true
 }
 
-// ask asks the next one of the other nodes for its view, since the registry does not answer this one. Nodes of different rank ask
-// different ones at a time.
-func (f *Follower) ask(ctx context.Context) {
+// refusedAlone reports whether the registry has not answered this node although it answers others.
+func (f *Follower) refusedAlone() bool { return f.away && !f.outage && f.failedAt.After(f.returned) }
+
+// ask asks the next one of the other nodes for its view, since the registry does not answer this one, and reports whether that
+// one is certain. Nodes of different rank ask different ones at a time, so that none is asked by many.
+func (f *Follower) ask(ctx context.Context) bool {
 	addresses := f.addresses()
 	if len(addresses) == 0 {
-		return
+		return false
 	}
 	f.asked++
-	f.fetchView(ctx, addresses[(f.rank()+f.asked)%len(addresses)])
+	return f.fetchView(ctx, addresses[(f.rank()+f.asked)%len(addresses)])
 }
 
 // askMeanwhile asks a node and hands over its view unless ctx ends.
--- a/internal/follow/views_test.go
+++ b/internal/follow/views_test.go
@@ -46,6 +46,30 @@
 	})
 }
 
+// Guards against nodes that all ask the sender of a notice when the registry answers again, and against nodes that go on asking for
+// views although notices reach them.
+func TestViewsAreNotAskedForAfterAnOutage(t *testing.T) {
+	play(t, 8, func(g *group) {
+		g.registry.fail(errors.New("down"))
+		time.Sleep(6 * time.Second)
+		g.registry.fail(nil)
+		time.Sleep(3500 * time.Millisecond) // the first reader has told the others
+		g.net.mu.Lock()
+		g.net.fetched = 0
+		g.net.mu.Unlock()
+		for i := range 5 {
+			g.registry.set(func(s *registry.State) { s.Table = table(uint64(10 + i)) })
+			time.Sleep(2 * time.Second)
+			for n := range g.nodes {
+				g.Assert(g.view(n).Table.Version, qt.Equals, uint64(10+i))
+			}
+		}
+		g.net.mu.Lock()
+		defer g.net.mu.Unlock()
+		g.Assert(g.net.fetched, qt.Equals, 0)
+	})
+}
+
 // start starts a node of the group again, which knows nothing.
 func (g *group) start(ctx context.Context, name string, r registry.Registry) *Follower {
 	g.net.mu.Lock()
