Let only the first ranks tell others what they have read

What fits: a node that was not told in time reads in turn and tells all others all that it had missed; on a VM of 0.192 cores and 20 Mbit/s some thousand datagrams keep it busy for seconds, in which it hears nothing. Change: only the first 12 ranks tell others; later ones read for themselves. Test, failing before: follow.TestLateRanksTellNobody.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -45,6 +45,8 @@
 	maxWait     = 1.5
 	// minRead is the shortest time between two reads that notices of unknown changes cause.
 	minRead = 250 * time.Millisecond
+	// tellRanks is the number of first ranks that tell others what they have read.
+	tellRanks = 12
 	// tellGone is how long a node is still told news after its entry is gone: the registry may have refused or dropped it
 	// while it serves callers.
 	tellGone = 30 * time.Second
@@ -193,8 +195,6 @@
 	return xxhash.Sum64String(a.ID) > xxhash.Sum64String(b.ID)
 }
 
-// readsFirst reports whether this node is the first to read for all.
-func (f *Follower) readsFirst() bool { return f.rank() == 0 }
 
 // adopt makes a state the present one and logs what is different.
 func (f *Follower) adopt(next registry.State, source string) {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -412,6 +412,24 @@
 	})
 }
 
+// Guards against a weak node that is busy for seconds with telling hundreds of others what it has read only because it was not
+// told in time, and against a tier without a reader when the first ones are gone.
+func TestLateRanksTellNobody(t *testing.T) {
+	var members []registry.Member
+	for i := range 60 {
+		members = append(members, registry.Member{ID: fmt.Sprintf("n%02d", i), Capacity: 0.2})
+	}
+	telling := 0
+	for _, m := range members {
+		f := &Follower{config: Config{Self: m.ID, Capacity: m.Capacity}, state: registry.State{Members: members}}
+		qt.Check(t, f.tells(false), qt.Equals, f.rank() == 0)
+		if f.tells(true) {
+			telling++
+		}
+	}
+	qt.Assert(t, telling, qt.Equals, tellRanks)
+}
+
 // Guards against a slow node that reads for all while faster ones wait, and against many nodes that read at once when the
 // first ones are gone.
 func TestOrderOfReaders(t *testing.T) {
--- a/internal/follow/read.go
+++ b/internal/follow/read.go
@@ -37,7 +37,7 @@
 	f.pause, f.next = 0, began.Add(minRead)
 	f.skipped.Update(float64(next.Skipped))
 	old := f.state
-	if !f.install(next, began, "read") || !inTurn && !f.readsFirst() {
+	if !f.install(next, began, "read") || !f.tells(inTurn) {
 		return
 	}
 	addresses := f.addresses()
@@ -46,6 +46,13 @@
 	}
 }
 
+// tells reports whether this node tells the others what it has read: the first reader always does, the next ones if it was their
+// turn. Nodes of late ranks are weak ones; telling hundreds of others would keep them from hearing anything themselves.
+func (f *Follower) tells(inTurn bool) bool {
+	rank := f.rank()
+	return rank == 0 || inTurn && rank < tellRanks
+}
+
 // install makes a whole state the present one unless it is older. It was the newest for certain at confirmed.
 func (f *Follower) install(next registry.State, confirmed time.Time, source string) bool {
 	old := f.state
