--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -195,7 +195,6 @@
 	return xxhash.Sum64String(a.ID) > xxhash.Sum64String(b.ID)
 }
 
-
 // adopt makes a state the present one and logs what is different.
 func (f *Follower) adopt(next registry.State, source string) {
 	old, first := f.state, !f.known
