Cut a proxied connection before any further byte passes

The connection is ended by a goroutine that waits for the change; on a busy machine the bytes were passed before it ran. Reproduced: 2 of 360 runs with the race detector, six at a time. Ruled out: the test, whose bound is right, and bytes left over from before. Change: bytes are not passed on a link that is cut. Before: 2 of 360 runs fail; after: none of 480.

--- a/internal/proctest/proxy.go
+++ b/internal/proctest/proxy.go
@@ -245,10 +245,13 @@
 	}
 }
 
-// awaitRelease waits while the link's rule holds this direction.
+// awaitRelease waits while the link's rule holds this direction. It reports false once the connection has ended or is cut.
 func (p *pipe) awaitRelease(held func(Rule) bool) bool {
 	for {
 		r, changed := p.network.rule(p.link)
+		if r.Cut {
+			return false
+		}
 		if !held(r) {
 			return true
 		}
