Wait for a stopped node's addresses in the test that starts it again

A node's UDP socket is closed by its receiver after stop has returned, which ends the process otherwise; in one process the next start came first.

--- a/internal/entry/views_test.go
+++ b/internal/entry/views_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"testing"
 
@@ -10,6 +11,16 @@
 	"cyclamenstream/internal/standin/site"
 )
 
+// free reports whether an address can be listened on: in one process, a node's sockets close a little after its stop.
+func free(network, address string) bool {
+	if network == "udp" {
+		c, err := net.ListenPacket(network, address)
+		return err == nil && c.Close() == nil
+	}
+	l, err := net.Listen(network, address)
+	return err == nil && l.Close() == nil
+}
+
 // Guards against a node that refuses every request because it started while the registry is down, although another node serves.
 func TestStartWhileTheRegistryIsDown(t *testing.T) {
 	store := site.NewStore()
@@ -28,6 +39,7 @@
 	eventually(t, "both nodes are ready", func() bool { return ready(n1)() && ready(n2)() && len(n1.resolve()) == 2 })
 	store.SetDown(true)
 	n2.stop(t)
+	eventually(t, "its addresses are free again", func() bool { return free("udp", n2.settings.PeerListen) && free("tcp", n2.settings.PeerListen) })
 	n2 = startWith(t, n2.settings)
 	defer n2.stop(t)
 	eventually(t, "the second node is ready again", ready(n2))
