--- a/api/exchange/exchange.go
+++ b/api/exchange/exchange.go
@@ -54,6 +54,9 @@
 	Signature string
 	// Load is nil if the leaf did not report it.
 	Load *Load
+	// RateLimit is the number of requests a second that the leaf accepts from all nodes together, or +Inf if the leaf
+	// states no limit. It is nil if what the leaf states is not a valid limit.
+	RateLimit *float64
 }
 
 // Success reports whether the leaf ran the request successfully and signed the answer.
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"log/slog"
 	"slices"
 	"sync"
 	"time"
@@ -24,6 +25,8 @@
 	ColdShare, ColdSlack float64
 	// Now reads the monotonic clock.
 	Now func() time.Time
+	// Log receives what leaves state about their limits. Nil disables it.
+	Log *slog.Logger
 }
 
 // View is the state of the registry by which the pool selects leaves.
@@ -59,6 +62,9 @@
 
 // New returns an empty pool.
 func New(c Config) *Pool {
+	if c.Log == nil {
+		c.Log = slog.New(slog.DiscardHandler)
+	}
 	return &Pool{config: c, rtts: newZoneRTTs(c), services: map[string]*service{}}
 }
 
@@ -95,7 +101,7 @@
 			state = old[i]
 			state.leaf.Draining, state.leaf.Slots = l.Draining, l.Slots
 		} else {
-			state = newLeafState(l, &s.pool.rtts, now)
+			state = newLeafState(l, s.pool, now)
 		}
 		state.connections = s.pool.config.connectionShare(settings.MaxConnections, v.Advertised)
 		state.cold.setShare(settings, s.pool.config, l.ID, v.Advertised)
@@ -163,6 +169,8 @@
 	WaitForHealthy bool
 	// MaxLatency is the longest acceptable expected latency; 0 means any.
 	MaxLatency time.Duration
+	// Extra marks a hedge or retry.
+	Extra bool
 }
 
 // Acquire reserves the best leaf for one request. Its errors have the verdict "not run". Their code is CodeNoLeaf if
@@ -208,6 +216,7 @@
 		base: best.baseLatency(now, processing), leaf: best.leaf, Connections: best.connections}
 	best.running = append(best.running, t)
 	best.cold.record(now)
+	best.rateLimit.recordSend(c.Extra, now)
 	return t, nil, nil
 }
 
--- a/internal/direct/leaf.go
+++ b/internal/direct/leaf.go
@@ -53,6 +53,8 @@
 	Kind Kind
 	// Load is the leaf's own report, if there was one.
 	Load *exchange.Load
+	// RateLimit is the limit that the leaf has stated, as in exchange.Reply.
+	RateLimit *float64
 }
 
 // Kind says how a request to a leaf ended.
@@ -86,6 +88,7 @@
 	connections int
 	running     []*Ticket
 	cold        coldLimiter
+	rateLimit   rateLimit
 	// replaced is set once another server was found at the leaf's address.
 	replaced bool
 
@@ -102,8 +105,10 @@
 	loadAt time.Time
 }
 
-func newLeafState(l registry.Leaf, rtts *zoneRTTs, now time.Time) *leafState {
-	return &leafState{leaf: l, rtts: rtts, cold: coldLimiter{until: now.Add(l.WarmupLeft)}}
+func newLeafState(l registry.Leaf, p *Pool, now time.Time) *leafState {
+	state := &leafState{leaf: l, rtts: &p.rtts, cold: coldLimiter{until: now.Add(l.WarmupLeft)}}
+	state.rateLimit = newRateLimit(state, p.config.Log)
+	return state
 }
 
 func (l *leafState) matches(o registry.Leaf) bool {
@@ -183,6 +188,9 @@
 	if o.Load != nil {
 		l.load, l.loadAt = o.Load, now
 	}
+	if o.RateLimit != nil {
+		l.rateLimit.set(*o.RateLimit, now)
+	}
 	switch o.Kind {
 	case Answered:
 		l.sampleOnce(d, now)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -103,9 +103,9 @@
 
 func newSender(scope tally.Scope) exchange.Sender { return platform.NewLeafClient(scope) }
 
-func newPool(s Settings) *direct.Pool {
+func newPool(s Settings, log *decision.Log) *direct.Pool {
 	return direct.New(direct.Config{Self: s.VM, Zone: s.Zone, Region: s.Region, RegionByZone: s.Zones,
-		ColdShare: s.ColdShare, ColdSlack: s.ColdSlack, Now: time.Now})
+		ColdShare: s.ColdShare, ColdSlack: s.ColdSlack, Now: time.Now, Log: log.Logger})
 }
 
 // newBudget returns the budget of retries and hedges. The nodes divide the slack, so that its limit holds over all
--- a/internal/gather/fetch.go
+++ b/internal/gather/fetch.go
@@ -179,6 +179,7 @@
 		return errNotSent
 	}
 	criteria := f.criteria()
+	criteria.Extra = true
 	if reason == "hedge" {
 		criteria.MaxLatency = f.maxHedgeLatency()
 	}
@@ -229,6 +230,9 @@
 	outcome := direct.Outcome{Kind: s.kind}
 	if s.reply != nil {
 		outcome.Load = s.reply.Load
+		if s.kind != direct.Replaced {
+			outcome.RateLimit = s.reply.RateLimit
+		}
 	}
 	ticket.Done(outcome)
 	f.recordCrash(s)
