Divide the limits that leaves state among the nodes

Cause: the limit was not read. A node chose leaves by latency and by its own connections only, and a leaf at its limit still answers quickly. A bound over all nodes that a leaf states at run time had no place in the pool, while those that the configuration states (repeats, cold leaves, connections) had one.

Change: each answer that states a limit sets it for that leaf; the advertised nodes have equal parts of it, the others a tenth together, each kept by a token bucket (golang.org/x/time/rate) that starts empty. If a limit has no room for one request of each advertised node, those with the highest hashes share it. Leaves that state a limit get no hedges. A request that they cannot admit within 0.4 of its target is refused at once, with a time to return that differs between callers; a gathered request before it uses any leaf.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -37,6 +37,8 @@
 	// Advertised holds the names of the nodes that the directory returns to callers. The other nodes send very few
 	// requests.
 	Advertised []string
+	// Nodes is the number of all nodes. It may be lower than the number of advertised ones, which then counts.
+	Nodes int
 }
 
 // Pool holds the leaves of all services. It is safe for concurrent use; each service has its own lock.
@@ -56,6 +58,8 @@
 	evacuatedZones []string
 	// usualProcessing is a moving average of the processing times of the leaves (latency less the round-trip time).
 	usualProcessing time.Duration
+	// lastReturn is the latest time at which a caller was told to retry.
+	lastReturn time.Time
 	// freed is closed and replaced when a request ends or the leaves are updated.
 	freed chan struct{}
 }
@@ -92,6 +96,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.evacuatedZones = v.EvacuatedZones
+	nodes := tier{self: s.pool.config.Self, advertised: v.Advertised, nodes: max(v.Nodes, len(v.Advertised))}
 	old := s.leaves
 	s.leaves = make([]*leafState, 0, len(leaves))
 	for _, l := range leaves {
@@ -105,6 +110,7 @@
 		}
 		state.connections = s.pool.config.connectionShare(settings.MaxConnections, v.Advertised)
 		state.cold.setShare(settings, s.pool.config, l.ID, v.Advertised)
+		state.rateLimit.setTier(nodes, now)
 		s.leaves = append(s.leaves, state)
 	}
 	for _, o := range old {
@@ -169,10 +175,19 @@
 	WaitForHealthy bool
 	// MaxLatency is the longest acceptable expected latency; 0 means any.
 	MaxLatency time.Duration
-	// Extra marks a hedge or retry.
-	Extra bool
+	Purpose    Purpose
 }
 
+// Purpose says why a request is sent to a leaf.
+type Purpose int
+
+// The purposes of sends.
+const (
+	FirstSend Purpose = iota
+	Hedge
+	Retry
+)
+
 // Acquire reserves the best leaf for one request. Its errors have the verdict "not run". Their code is CodeNoLeaf if
 // the service has no usable leaf, and CodeOverloaded if all usable leaves are full. With CodeOverloaded, freed is
 // closed once another attempt may succeed.
@@ -192,12 +207,16 @@
 	defer s.mu.Unlock()
 	processing := s.processingTime()
 	var best *leafState
-	bestRank, usable, healthyFull := rank{}, 0, false
+	bestRank, usable, limited, healthyFull := rank{}, 0, 0, false
 	for _, l := range s.leaves {
 		if !s.allowed(l, c) {
 			continue
 		}
 		usable++
+		if !l.mayAccept(c.Purpose, now) {
+			limited++
+			continue
+		}
 		r, free := l.rank(now, processing)
 		healthyFull = healthyFull || !free && !r.inBackoff
 		if free && (best == nil || r.before(bestRank)) {
@@ -209,6 +228,8 @@
 		return nil, nil, verdict.Refusef(verdict.CodeNoLeaf, "service %q has no usable leaf of %d", c.Service, len(s.leaves))
 	case best != nil && c.MaxLatency > 0 && bestRank.expected > c.MaxLatency:
 		return nil, s.freed, verdict.Refusef(verdict.CodeOverloaded, "service %q has no leaf that would answer within %v", c.Service, c.MaxLatency)
+	case limited == usable:
+		return nil, s.freed, verdict.Refusef(verdict.CodeOverloaded, "all %d usable leaves of service %q have reached the limits that they state", usable, c.Service)
 	case best == nil || c.WaitForHealthy && bestRank.inBackoff && healthyFull:
 		return nil, s.freed, verdict.Refusef(verdict.CodeOverloaded, "all %d usable leaves of service %q are full", usable, c.Service)
 	}
@@ -216,10 +237,68 @@
 		base: best.baseLatency(now, processing), leaf: best.leaf, Connections: best.connections}
 	best.running = append(best.running, t)
 	best.cold.record(now)
-	best.rateLimit.recordSend(c.Extra, now)
+	best.rateLimit.recordSend(c.Purpose, now)
 	return t, nil, nil
 }
 
+// LimitDelay returns the time until some usable leaf may get a request under the limits that the leaves state. It is 0
+// if a leaf may get one now, or if there is no usable leaf.
+func (p *Pool) LimitDelay(c Criteria) time.Duration {
+	p.mu.RLock()
+	s := p.services[c.Service]
+	p.mu.RUnlock()
+	if s == nil {
+		return 0
+	}
+	now := p.config.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delay, _ := s.limitDelay(c, now)
+	return delay
+}
+
+// limitDelay also returns the rate in requests/s at which this node may send to the usable leaves that state a limit.
+func (s *service) limitDelay(c Criteria, now time.Time) (delay time.Duration, perSecond float64) {
+	first := true
+	for _, l := range s.leaves {
+		if !s.allowed(l, c) {
+			continue
+		}
+		if d := l.rateLimit.delay(now); first || d < delay {
+			delay, first = d, false
+		}
+		perSecond += l.rateLimit.share()
+	}
+	return delay, perSecond
+}
+
+// ReturnDelay returns after what time a caller whose request was refused because of the limits that the leaves state
+// should retry. Refused callers get different times, spread at the rate at which the leaves accept requests.
+func (p *Pool) ReturnDelay(c Criteria) time.Duration {
+	p.mu.RLock()
+	s := p.services[c.Service]
+	p.mu.RUnlock()
+	if s == nil {
+		return 0
+	}
+	now := p.config.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delay, perSecond := s.limitDelay(c, now)
+	if delay <= 0 || perSecond <= 0 {
+		return 0
+	}
+	next := s.lastReturn.Add(time.Duration(float64(time.Second) / perSecond))
+	if earliest := now.Add(delay); next.Before(earliest) {
+		next = earliest
+	}
+	if latest := now.Add(maxReturnDelay); next.After(latest) {
+		return maxReturnDelay
+	}
+	s.lastReturn = next
+	return next.Sub(now)
+}
+
 // processingTime returns the expected latency of the service at a leaf less the round-trip time. It is that of the
 // fastest leaf, or the usual one if even the fastest leaf is clearly slower than usual.
 func (s *service) processingTime() time.Duration {
--- a/internal/direct/leaf.go
+++ b/internal/direct/leaf.go
@@ -44,6 +44,8 @@
 	// slowdownThreshold is the share of slots in use above which leaves slow down.
 	slowdownThreshold = 0.5
 	tieBreak          = 0.01
+	// maxReturnDelay is the longest time after which callers are told to retry. They do not wait much longer.
+	maxReturnDelay = time.Second
 	// loadReportTTL is how long a load report of a leaf is used.
 	loadReportTTL = 100 * time.Millisecond
 )
@@ -128,6 +130,15 @@
 	return r.expected < o.expected
 }
 
+// mayAccept reports whether the leaf's stated limit allows another request from this node. A leaf that states a limit
+// gets no hedges.
+func (l *leafState) mayAccept(p Purpose, now time.Time) bool {
+	if l.rateLimit.stated() && p == Hedge {
+		return false
+	}
+	return l.rateLimit.delay(now) <= 0
+}
+
 // rank returns the leaf's rank, and whether it can take another request from this node.
 func (l *leafState) rank(now time.Time, processing time.Duration) (r rank, free bool) {
 	// After a backoff has ended, one request at a time probes whether the leaf is usable again.
--- a/internal/direct/ratelimit_sim_test.go
+++ b/internal/direct/ratelimit_sim_test.go
@@ -65,6 +65,7 @@
 	for i := range c.nodes - c.spare {
 		s.view.Advertised = append(s.view.Advertised, fmt.Sprint("n", i))
 	}
+	s.view.Nodes = c.nodes
 	for i := range c.nodes {
 		s.pools = append(s.pools, s.newPool(i))
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -189,7 +189,7 @@
 		if state.Table == nil {
 			return
 		}
-		gone := pool.Update(direct.View{Leaves: state.Leaves, Services: state.Table.Services, EvacuatedZones: state.Evacuated, Advertised: advertised})
+		gone := pool.Update(direct.View{Leaves: state.Leaves, Services: state.Table.Services, EvacuatedZones: state.Evacuated, Advertised: advertised, Nodes: len(state.Members)})
 		if old := active.index.Load(); old == nil || old.Table() != state.Table {
 			active.index.Store(routing.NewIndex(state.Table))
 		}
--- a/internal/gather/fetch.go
+++ b/internal/gather/fetch.go
@@ -39,6 +39,8 @@
 type fetchResult struct {
 	reply *exchange.Reply
 	err   error
+	// retryAfter tells the caller when to retry if the limits that the leaves state are the reason for err.
+	retryAfter time.Duration
 }
 
 // sendResult is the result of one send.
@@ -67,6 +69,8 @@
 	// failureReply is the latest answer in which a leaf reported a failure.
 	failureReply *exchange.Reply
 	lastErr      error
+	// retryAfter is as in fetchResult.
+	retryAfter time.Duration
 }
 
 // fetch gets one service's answer. It sends to a second leaf if the first one is slow or fails, as far as the route's
@@ -75,7 +79,7 @@
 	r.dispatcher.RetryBudget.OnSend(service, r.dispatcher.Config.RetryShare)
 	f := &fetch{activeRequest: r, service: service, results: make(chan sendResult, maxSends)}
 	if err := f.sendFirst(ctx); err != nil {
-		return fetchResult{err: err}
+		return fetchResult{err: err, retryAfter: f.retryAfter}
 	}
 	hedge := time.NewTimer(f.hedgeDelay())
 	defer hedge.Stop()
@@ -110,7 +114,7 @@
 
 // sendFirst sends to the best leaf. It waits for a while if all leaves are full, or if the free ones have just failed.
 // A part of a gathered answer waits as long as there is time, since other leaves are already working on the same
-// answer.
+// answer. A request that the limits of the leaves do not admit in time is refused at once.
 func (f *fetch) sendFirst(ctx context.Context) error {
 	waitTimer := time.NewTimer(time.Duration(waitShare * float64(f.route.Target)))
 	defer waitTimer.Stop()
@@ -121,12 +125,17 @@
 		if err == nil || freed == nil {
 			return err
 		}
-		if !criteria.WaitForHealthy && len(f.route.Gather) == 0 {
-			f.trace.Add(decision.Step{Event: "refuse", Service: f.service, Outcome: verdict.Message(err)})
+		limitDelay := f.dispatcher.Pool.LimitDelay(criteria)
+		waited := !criteria.WaitForHealthy && len(f.route.Gather) == 0
+		if waited || f.exceedsLimitWait(limitDelay) {
+			f.retryAfter = f.dispatcher.Pool.ReturnDelay(criteria)
+			f.trace.Add(decision.Step{Event: "refuse", Service: f.service, InputName: "limit_delay_ms",
+				Input: decision.Millis(limitDelay), Outcome: verdict.Message(err)})
 			return err
 		}
 		select {
 		case <-freed:
+		case <-afterLimit(limitDelay):
 		case <-waitTimer.C:
 			criteria.WaitForHealthy = false
 		case <-f.activeRequest.sendCtx.Done():
@@ -138,7 +147,9 @@
 }
 
 func (f *fetch) criteria() direct.Criteria {
-	return direct.Criteria{Service: f.service, AllowedRegions: f.route.Regions, Exclude: f.tried}
+	criteria := f.activeRequest.criteria(f.service)
+	criteria.Exclude = f.tried
+	return criteria
 }
 
 func (f *fetch) hedgeDelay() time.Duration {
@@ -179,8 +190,9 @@
 		return errNotSent
 	}
 	criteria := f.criteria()
-	criteria.Extra = true
+	criteria.Purpose = direct.Retry
 	if reason == "hedge" {
+		criteria.Purpose = direct.Hedge
 		criteria.MaxLatency = f.maxHedgeLatency()
 	}
 	_, err := f.send(criteria)
--- a/internal/gather/gather.go
+++ b/internal/gather/gather.go
@@ -211,7 +211,7 @@
 	if f.reply != nil {
 		return exchange.Answer{Reply: f.reply}
 	}
-	return r.dispatcher.errorAnswer(f.err)
+	return r.dispatcher.limitAnswer(f.err, f.retryAfter)
 }
 
 // part is the result of one gathered service.
@@ -224,6 +224,9 @@
 // target latency is near and enough others have answered.
 func (r *activeRequest) serveGathered(ctx context.Context) exchange.Answer {
 	services := r.route.Gather
+	if err, retryAfter := r.limitErr(); err != nil {
+		return r.dispatcher.limitAnswer(err, retryAfter)
+	}
 	parts := make(chan part, len(services))
 	fetchCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/gather/gather_test.go
+++ b/internal/gather/gather_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"slices"
 	"sync"
@@ -34,6 +35,8 @@
 	status  int
 	refused bool
 	body    string
+	// limit is the rate limit that the leaf states, in requests/s, if it is not 0.
+	limit float64
 }
 
 // fakeLeaves is a Sender without a network.
@@ -78,8 +81,12 @@
 		return nil, b.err
 	}
 	out.Attempt.Answered()
+	limit := math.Inf(1)
+	if b.limit > 0 {
+		limit = b.limit
+	}
 	status := max(b.status, http.StatusOK)
-	return &exchange.Reply{Status: status, Signature: "d-" + l.ID, Body: []byte(b.body), Header: http.Header{}}, nil
+	return &exchange.Reply{Status: status, Signature: "d-" + l.ID, Body: []byte(b.body), Header: http.Header{}, RateLimit: &limit}, nil
 }
 
 func (f *fakeLeaves) Preconnect(registry.Leaf, int) {}
