Apply a raised limit of a leaf after four seconds

What callers saw: nothing.

Cause: a leaf that stated 3.8 requests/s and then 16.2 got the higher rate at once, so a window of 4 s that began under the lower limit held more than that allows. Sending at once four times as much to a leaf in need does it no good either.

Change: a limit above the one in force applies once it has been stated for 4 s, and then the lowest one stated in that time. A lower limit, and none, apply at once.

--- a/internal/direct/ratelimit.go
+++ b/internal/direct/ratelimit.go
@@ -22,6 +22,8 @@
 	remainderShare = 0.1
 	// minLimit is the smallest limit in requests/s over all nodes that is applied, for the same reason.
 	minLimit = 0.25
+	// raiseDelay is the time after which a raised limit applies. Until then the lower one may still count.
+	raiseDelay = 4 * time.Second
 	// rateReportInterval is the time between two reports of the requests that this node sends to a leaf with a stated limit.
 	rateReportInterval = 4 * time.Second
 )
@@ -63,6 +65,9 @@
 	// perSecond is +Inf while the leaf states no limit. limiter is nil then.
 	perSecond float64
 	limiter   *rate.Limiter
+	// raised is the lowest limit above perSecond that the leaf has stated since raisedAt, or 0 if it has stated none.
+	raised   float64
+	raisedAt time.Time
 
 	// The counts cover the requests since countedSince. Extra ones are hedges and retries.
 	countedSince time.Time
@@ -76,8 +81,25 @@
 // stated reports whether the leaf states a limit.
 func (r *rateLimit) stated() bool { return r.limiter != nil }
 
-// set adopts what an answer says about the limit. +Inf means that the leaf states none.
+// set adopts what an answer says about the limit. +Inf means that the leaf states none. A limit that is higher than the
+// one before applies after raiseDelay.
 func (r *rateLimit) set(perSecond float64, now time.Time) {
+	switch {
+	case perSecond <= r.perSecond || math.IsInf(perSecond, 1):
+		r.raised = 0
+		r.adopt(perSecond, now)
+	case r.raised == 0:
+		r.raised, r.raisedAt = perSecond, now
+	default:
+		r.raised = min(r.raised, perSecond)
+		if now.Sub(r.raisedAt) >= raiseDelay {
+			r.adopt(r.raised, now)
+			r.raised = 0
+		}
+	}
+}
+
+func (r *rateLimit) adopt(perSecond float64, now time.Time) {
 	if perSecond == r.perSecond {
 		return
 	}
