--- a/api/registry/registry.go
+++ b/api/registry/registry.go
@@ -64,6 +64,9 @@
 	Members []Member
 	// Skipped is the number of entries that were skipped because they are invalid.
 	Skipped int
+	// Epoch is the number of times that the registry has been restored from a copy. Revisions of different epochs are
+	// not comparable.
+	Epoch uint64
 	// Revision is the registry's revision up to which all changes are included in the state.
 	Revision uint64
 }
