--- /dev/null
+++ b/internal/follow/restore_test.go
@@ -0,0 +1,79 @@
+package follow
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cyclamenstream/api/registry"
+)
+
+// prepareRestore brings the registry to revision 50 with configuration 5 and the leaves l1 to l3 in all nodes' states,
+// and returns a copy of the registry's state.
+func (g *group) prepareRestore() registry.State {
+	g.registry.update(func(s *registry.State) {
+		s.Revision, s.Table = 50, table(5)
+		s.Leaves = []registry.Leaf{testLeaf("l1", 41), testLeaf("l2", 42), testLeaf("l3", 43)}
+	})
+	time.Sleep(1500 * time.Millisecond)
+	g.registry.mu.Lock()
+	defer g.registry.mu.Unlock()
+	return g.registry.state
+}
+
+// restore makes the registry unavailable for two seconds. It comes back in the next epoch with the given state at
+// revision 40.
+func (g *group) restore(state registry.State) {
+	g.registry.setError(errors.New("down"))
+	time.Sleep(2 * time.Second)
+	g.registry.update(func(s *registry.State) {
+		epoch := s.Epoch + 1
+		*s = state
+		s.Epoch, s.Revision = epoch, 40
+	})
+	g.registry.setError(nil)
+}
+
+func ids(leaves []registry.Leaf) (list []string) {
+	for _, l := range leaves {
+		name := l.ID
+		if l.Draining {
+			name += " draining"
+		}
+		list = append(list, name)
+	}
+	return list
+}
+
+// Guards against nodes that ignore a registry that was restored from a copy until its revision exceeds the one that
+// they know, and against changes that they miss because a revision was given out again.
+func TestRestoredRegistryIsFollowed(t *testing.T) {
+	runGroup(t, 4, func(g *group) {
+		g.restore(g.prepareRestore())
+		time.Sleep(2 * time.Second)
+		g.registry.update(func(s *registry.State) {
+			s.Table = table(6)
+			leaves := []registry.Leaf{testLeaf("l1", 41), testLeaf("l2", 42), testLeaf("l3", 43)}
+			leaves[0].Draining = true // at the revision that the entry had before
+			s.Leaves = leaves
+		})
+		time.Sleep(1200 * time.Millisecond)
+		for i := range g.nodes {
+			g.Check(configVersion(g.state(i)), qt.Equals, uint64(6), qt.Commentf("node %d", i))
+			g.Check(ids(g.state(i).Leaves), qt.DeepEquals, []string{"l1 draining", "l2", "l3"}, qt.Commentf("node %d", i))
+		}
+	})
+}
+
+// Guards against nodes that all read the registry several times a second after it was restored from a copy.
+func TestRestoreCausesFewReads(t *testing.T) {
+	runGroup(t, 20, func(g *group) {
+		g.restore(g.prepareRestore())
+		before := g.registry.readCount()
+		time.Sleep(20 * time.Second)
+		reads := g.registry.readCount() - before
+		g.Check(reads <= 20+3*len(g.nodes), qt.IsTrue, qt.Commentf("%d reads in 20 s", reads))
+	})
+}
