Compare revisions of the registry within one epoch only

What callers saw: after the platform's store came back from a copy some seconds old, confirmed changes were not in force (CONFIG) and leaves that had left got requests (DRAIN), until the store had counted past the revision that the nodes knew.

Cause: a read, notice or view with a lower revision than the known one was dropped as a late one, and a leaf's entry counted as unchanged if its revision was. After a restore revisions go back and are given out again. The class: numbers that are compared without the history that they belong to.

Change: states, notices and views carry the registry's epoch. A later epoch replaces an earlier one whatever the revisions are, an earlier one is ignored; entries are compared whole. Nodes that hear of a restore by a notice whose base they have need no read.

--- a/api/cluster/notice.go
+++ b/api/cluster/notice.go
@@ -13,8 +13,8 @@
 	Sender string
 	// From is the address that the notice was received from.
 	From string
-	// Revision is the registry's revision of the read.
-	Revision uint64
+	// Epoch and Revision are the registry's at the read.
+	Epoch, Revision uint64
 	// Digest is the digest of the state after the changes, Base that of the state before them.
 	Digest, Base uint64
 	// More is set if further notices of the same read follow. The state after this notice is only an intermediate one.
@@ -51,7 +51,7 @@
 // View is a node's copy of the registry's content.
 type View struct {
 	// State lacks the routing configuration if the asking node already has that version. If Same is set, only the
-	// revision is set.
+	// epoch and the revision are set.
 	State registry.State
 	// Same is set if the asking node already has this state.
 	Same bool
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -88,10 +88,9 @@
 	// nextViewRequest.
 	viewRequests    int
 	nextViewRequest time.Time
-	// outageEnd is when the last outage ended. keepsMissing is set if the state contains entries that the registry has
-	// lacked since then.
-	outageEnd    time.Time
-	keepsMissing bool
+	// outageEnd is when the last outage ended. restoredAt is when this node learned that the registry was restored from
+	// a copy. rereadAt is when the state ceases to differ from what the registry contains, or zero if it does not differ.
+	outageEnd, restoredAt, rereadAt time.Time
 	// lastSeen is when each node's entry was last present, by the address at which the node receives notices.
 	lastSeen map[string]time.Time
 	// viewHints receives addresses of nodes that have a state while this node has none.
@@ -145,12 +144,9 @@
 	if now.Before(f.nextRead) {
 		return false
 	}
-	return now.Sub(f.confirmed) >= f.maxAge() || f.keepsMissing && !f.inGrace(now)
+	return now.Sub(f.confirmed) >= f.maxAge() || !f.rereadAt.IsZero() && !now.Before(f.rereadAt)
 }
 
-// inGrace reports whether missing entries may still reappear after an outage.
-func (f *Follower) inGrace(now time.Time) bool { return now.Sub(f.outageEnd) < f.config.OutageGrace }
-
 // checkPause treats the state as unconfirmed after the process was paused or its VM was suspended, and discards queued
 // notices. It compares both clocks because the monotonic clock stops while the VM is suspended and the wall clock does
 // not.
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -158,6 +158,8 @@
 	nodes    []*Follower
 	// refused reports for each node whether the registry refuses it.
 	refused []*atomic.Bool
+	// start starts the node with the given name.
+	start func(name string)
 }
 
 func testLeaf(id string, revision uint64) registry.Leaf {
@@ -179,19 +181,25 @@
 			g.net.nodes[name] = make(chan cluster.Notice, 64)
 			g.registry.state.Members = append(g.registry.state.Members, registry.Member{ID: name, PeerAddress: name})
 		}
-		for i := range n {
-			name := string(rune('a' + i))
-			g.refused = append(g.refused, &atomic.Bool{})
+		g.start = func(name string) {
+			refused := &atomic.Bool{}
 			e := endpoint{g.net, name}
-			f := New(refusingRegistry{g.registry, g.refused[i]}, e, e, Config{Self: name, Address: name, Interval: time.Second, OutageGrace: 2 * time.Second}, log, tally.NoopScope, func(registry.State) {})
-			g.nodes, g.net.views[name] = append(g.nodes, f), f
+			f := New(refusingRegistry{g.registry, refused}, e, e, Config{Self: name, Address: name, Interval: time.Second, OutageGrace: 2 * time.Second}, log, tally.NoopScope, func(registry.State) {})
+			g.net.mu.Lock()
+			g.nodes, g.refused, g.net.views[name] = append(g.nodes, f), append(g.refused, refused), f
+			g.net.mu.Unlock()
 			running.Go(func() { f.Run(ctx) })
 		}
+		for i := range n {
+			g.start(string(rune('a' + i)))
+		}
+		defer func() { // also when a check ends the test
+			cancel()
+			running.Wait()
+			log.Close(time.Second)
+		}()
 		time.Sleep(2 * time.Second)
 		check(g)
-		cancel()
-		running.Wait()
-		log.Close(time.Second)
 	})
 }
 
--- a/internal/follow/notices.go
+++ b/internal/follow/notices.go
@@ -31,7 +31,7 @@
 // handleNotice handles a notice, which confirms the current state, updates it, or shows that it is out of date. Each
 // notice ends an outage, since its sender has read the registry.
 func (f *Follower) handleNotice(ctx context.Context, n cluster.Notice) {
-	if !f.hasState || n.Revision < f.state.Revision || n.Sender == f.config.Self {
+	if !f.hasState || older(n.Epoch, n.Revision, f.state) || n.Sender == f.config.Self {
 		return
 	}
 	now, currentDigest := time.Now(), digest(f.state)
@@ -50,13 +50,14 @@
 		}
 		if digest(next) == n.Digest {
 			f.confirmFromNotice(n, now)
+			f.recordRestore(next, now, "notice of "+n.Sender)
 			f.setState(next, "notice of "+n.Sender)
 			return
 		}
 	case n.More:
 		return // the last notice of the read shows whether this node is out of date
 	}
-	f.log.Info("notice_unknown", "sender", n.Sender, "revision", n.Revision, "known", f.state.Revision)
+	f.log.Info("notice_unknown", "sender", n.Sender, "epoch", n.Epoch, "known_epoch", f.state.Epoch, "revision", n.Revision, "known", f.state.Revision)
 	// The sender's view is certain, but it is asked last, so that not every node that the registry refuses asks it.
 	if f.refused() && (f.requestView(ctx) || f.fetchView(ctx, n.From)) {
 		return
--- a/internal/follow/read.go
+++ b/internal/follow/read.go
@@ -57,18 +57,13 @@
 
 // install replaces the current state by a complete one unless that is older. The new state was the newest at confirmed.
 func (f *Follower) install(next registry.State, confirmed time.Time, source string) bool {
-	old := f.state
-	if f.hasState && next.Epoch != old.Epoch {
-		f.log.Warn("registry_restored", "epoch", next.Epoch, "before", old.Epoch, "revision", next.Revision, "known", old.Revision,
-			"config_version", configVersion(next), "config_known", configVersion(old), "zones", next.Evacuated, "zones_known", old.Evacuated, "source", source)
-	}
-	if next.Revision < old.Revision {
-		f.log.Warn("read_ignored", "epoch", next.Epoch, "revision", next.Revision, "known", old.Revision, "source", source)
+	old, now := f.state, time.Now()
+	if older(next.Epoch, next.Revision, old) {
+		f.log.Warn("read_ignored", "epoch", next.Epoch, "known_epoch", old.Epoch, "revision", next.Revision, "known", old.Revision, "source", source)
 		return false
 	}
-	receivedDigest := digest(next)
-	next = keepNewest(old, next, f.inGrace(time.Now()))
-	f.keepsMissing = digest(next) != receivedDigest
+	f.recordRestore(next, now, source)
+	next = f.reconcile(old, keepNewest(old, next), now)
 	f.confirm(confirmed)
 	f.setState(next, source)
 	return true
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -11,8 +11,8 @@
 	"cyclamenstream/api/registry"
 )
 
-// digest returns a hash of a state's content. It leaves out the state's revision, which also grows with irrelevant
-// changes.
+// digest returns a hash of a state's content. It includes the epoch, since entries count by their revisions. It leaves out
+// the state's revision, which also grows with irrelevant changes.
 func digest(s registry.State) uint64 {
 	h := xxhash.New()
 	writeUint64 := func(v uint64) {
@@ -24,6 +24,7 @@
 		writeUint64(uint64(len(v)))
 		_, _ = h.WriteString(v)
 	}
+	writeUint64(s.Epoch)
 	writeUint64(configVersion(s))
 	for _, zone := range s.Evacuated {
 		writeString(zone)
@@ -47,16 +48,26 @@
 	return s.Table.Version
 }
 
-// keepNewest returns next, but with the configuration of old if that is newer. With keepMissing set, it also keeps the
-// entries of old that next lacks.
-func keepNewest(old, next registry.State, keepMissing bool) registry.State {
+// older reports whether the point of the registry's history at epoch and revision is before that of the state.
+func older(epoch, revision uint64, s registry.State) bool {
+	if epoch != s.Epoch {
+		return epoch < s.Epoch
+	}
+	return revision < s.Revision
+}
+
+// keepNewest returns next, but with the configuration of old if that is newer.
+func keepNewest(old, next registry.State) registry.State {
 	if configVersion(next) < configVersion(old) {
 		next.Table = old.Table
 	}
-	if keepMissing {
-		next.Leaves = union(next.Leaves, old.Leaves, leafID)
-		next.Members = union(next.Members, old.Members, memberID)
-	}
+	return next
+}
+
+// keepMissing returns next with the entries of old that it lacks.
+func keepMissing(old, next registry.State) registry.State {
+	next.Leaves = union(next.Leaves, old.Leaves, leafID)
+	next.Members = union(next.Members, old.Members, memberID)
 	return next
 }
 
@@ -95,7 +106,8 @@
 	return changed, gone
 }
 
-func sameRevision(a, b registry.Leaf) bool { return a.Revision == b.Revision }
+// sameEntry compares whole entries, since revisions are given out again after the registry was restored from a copy.
+func sameEntry(a, b registry.Leaf) bool    { return a == b }
 func sameMember(a, b registry.Member) bool { return a == b }
 
 // maxChanges bounds the changes in one notice. A leaf or node takes about 100 bytes of a datagram.
@@ -103,8 +115,8 @@
 
 // newNotices returns the notices whose changes lead from old to next.
 func newNotices(sender string, old, next registry.State) []cluster.Notice {
-	remaining := cluster.Notice{Sender: sender, Revision: next.Revision, Evacuated: next.Evacuated}
-	remaining.Leaves, remaining.LeavesGone = diff(old.Leaves, next.Leaves, leafID, sameRevision)
+	remaining := cluster.Notice{Sender: sender, Epoch: next.Epoch, Revision: next.Revision, Evacuated: next.Evacuated}
+	remaining.Leaves, remaining.LeavesGone = diff(old.Leaves, next.Leaves, leafID, sameEntry)
 	remaining.Members, remaining.MembersGone = diff(old.Members, next.Members, memberID, sameMember)
 	var notices []cluster.Notice
 	base := old
@@ -144,7 +156,7 @@
 func applyNotice(state registry.State, n cluster.Notice) registry.State {
 	state.Leaves = union(n.Leaves, without(state.Leaves, n.LeavesGone, leafID), leafID)
 	state.Members = union(n.Members, without(state.Members, n.MembersGone, memberID), memberID)
-	state.Evacuated, state.Revision = n.Evacuated, n.Revision
+	state.Evacuated, state.Epoch, state.Revision = n.Evacuated, n.Epoch, n.Revision
 	return state
 }
 
--- a/internal/follow/views.go
+++ b/internal/follow/views.go
@@ -107,7 +107,7 @@
 	switch {
 	case v.Same:
 		f.confirm(later(f.confirmed, confirmed))
-	case v.State.Revision > f.state.Revision || !f.hasState:
+	case !f.hasState || older(f.state.Epoch, f.state.Revision, v.State):
 		f.log.Info("view_fetch", "address", address, "revision", v.State.Revision, "known", f.state.Revision,
 			"confirmed", v.Confirmed, "age_ms", decision.Millis(v.Age))
 		f.install(v.State, confirmed, "view of "+address)
--- a/internal/notice/encoding.go
+++ b/internal/notice/encoding.go
@@ -11,7 +11,7 @@
 )
 
 func encode(n cluster.Notice) *noticepb.Datagram {
-	m := &noticepb.Notice{Sender: n.Sender, Revision: n.Revision, Digest: n.Digest, Base: n.Base, Partial: n.Partial, More: n.More,
+	m := &noticepb.Notice{Sender: n.Sender, Epoch: n.Epoch, Revision: n.Revision, Digest: n.Digest, Base: n.Base, Partial: n.Partial, More: n.More,
 		ConfigVersion: n.ConfigVersion, Evacuated: n.Evacuated, LeavesGone: n.LeavesGone, MembersGone: n.MembersGone,
 		Leaves: encodeLeaves(n.Leaves), Members: encodeMembers(n.Members)}
 	return &noticepb.Datagram{Content: &noticepb.Datagram_Notice{Notice: m}}
@@ -27,13 +27,13 @@
 }
 
 func decode(m *noticepb.Notice) cluster.Notice {
-	return cluster.Notice{Sender: m.Sender, Revision: m.Revision, Digest: m.Digest, Base: m.Base, Partial: m.Partial, More: m.More,
+	return cluster.Notice{Sender: m.Sender, Epoch: m.Epoch, Revision: m.Revision, Digest: m.Digest, Base: m.Base, Partial: m.Partial, More: m.More,
 		ConfigVersion: m.ConfigVersion, Evacuated: m.Evacuated, LeavesGone: m.LeavesGone, MembersGone: m.MembersGone,
 		Leaves: decodeLeaves(m.Leaves), Members: decodeMembers(m.Members)}
 }
 
 func encodeView(v cluster.View, request cluster.ViewRequest) (*noticepb.View, error) {
-	m := &noticepb.View{Revision: v.State.Revision, Confirmed: v.Confirmed, AgeMs: uint32(v.Age.Milliseconds()), Same: v.Same}
+	m := &noticepb.View{Epoch: v.State.Epoch, Revision: v.State.Revision, Confirmed: v.Confirmed, AgeMs: uint32(v.Age.Milliseconds()), Same: v.Same}
 	if v.Same {
 		return m, nil
 	}
@@ -48,7 +48,7 @@
 
 func decodeView(m *noticepb.View) (cluster.View, error) {
 	v := cluster.View{Same: m.Same, Confirmed: m.Confirmed, Age: time.Duration(m.AgeMs) * time.Millisecond,
-		State: registry.State{Revision: m.Revision, Leaves: decodeLeaves(m.Leaves), Members: decodeMembers(m.Members)}}
+		State: registry.State{Epoch: m.Epoch, Revision: m.Revision, Leaves: decodeLeaves(m.Leaves), Members: decodeMembers(m.Members)}}
 	v.State.Evacuated = m.Evacuated
 	if len(m.Table) == 0 {
 		return v, nil
--- a/internal/notice/notice_test.go
+++ b/internal/notice/notice_test.go
@@ -49,7 +49,7 @@
 	c := qt.New(t)
 	from, _ := listen(t)
 	to, address := listen(t)
-	sent := cluster.Notice{Sender: "n1", Revision: 9, Digest: 1 << 63, Base: 3, ConfigVersion: 5, Evacuated: []string{"z2"},
+	sent := cluster.Notice{Sender: "n1", Epoch: 3, Revision: 9, Digest: 1 << 63, Base: 3, ConfigVersion: 5, Evacuated: []string{"z2"},
 		Leaves: []registry.Leaf{testLeaf(1)}, LeavesGone: []string{"l9"}, MembersGone: []string{"n8"},
 		Members: []registry.Member{{ID: "n2", Zone: "z", Region: "r", CallerAddress: "a:1", PeerAddress: "a:2", Boot: 4}}}
 	from.SendNotice([]string{"not an address", address}, sent)
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -30,6 +31,7 @@
 	leases   map[uint64]time.Time // expiry by lease identifier
 	ttls     map[uint64]time.Duration
 	revision uint64
+	epoch    uint64 // grows with each restore
 	calls    map[string]int
 	down     bool
 	// pageItems is the largest number of items in one page of a list.
@@ -39,7 +41,7 @@
 // NewStore starts an empty store.
 func NewStore() *Store {
 	s := &Store{items: map[string]Item{}, leases: map[uint64]time.Time{}, ttls: map[uint64]time.Duration{},
-		calls: map[string]int{}, revision: 1, pageItems: 500}
+		calls: map[string]int{}, revision: 1, epoch: 1, pageItems: 500}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /api/kv-range", s.listItems)
 	mux.HandleFunc("POST /api/kv-txn", s.writeItems)
@@ -101,6 +103,28 @@
 	}
 }
 
+// Copy is a copy of the store's content.
+type Copy struct {
+	items    map[string]Item
+	leases   map[uint64]time.Time
+	revision uint64
+}
+
+// Copy returns a copy of the store's content.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{maps.Clone(s.items), maps.Clone(s.leases), s.revision}
+}
+
+// Restore replaces the store's content by a copy, so that its revision goes back, and begins the next epoch.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.items, s.leases, s.revision = maps.Clone(c.items), maps.Clone(c.leases), c.revision
+	s.epoch++
+}
+
 // Calls returns the number of calls of a path.
 func (s *Store) Calls(path string) int {
 	s.mu.Lock()
@@ -129,6 +153,7 @@
 		s.calls[r.URL.Path]++
 		s.expireLeases()
 		down := s.down
+		w.Header().Set("Store-Era", strconv.FormatUint(s.epoch, 10))
 		s.mu.Unlock()
 		if down {
 			w.WriteHeader(http.StatusServiceUnavailable)
