Keep what the registry forgets in a restore excluded for a while

What callers would see: after the store came back from a copy, requests to leaves of an evacuated zone, to draining leaves and to leaves that have left, and addresses of nodes that have ended, until operators and leaves have written again.

Cause: a read of the restored registry replaced the state as if the copy were news.

Change: for 5 s after a restore evacuated zones stay evacuated, draining leaves of the same boot stay draining, and entries of leaves and nodes that a node has seen disappear within the last minute are not taken up again. What still differs then is read again and taken as it is.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -47,6 +47,8 @@
 	readsPerBound = 3
 	// reregisterTime is a little longer than entries take to be registered again after an outage of the registry.
 	reregisterTime = 2500 * time.Millisecond
+	// restoreTime is longer than the entries of leaves that have left stay in a registry that was restored from a copy.
+	restoreTime = 5 * time.Second
 
 	// retryFactor is the part of the retry budget that is used. The rest covers nodes that start or stop, which may
 	// compute their share differently.
@@ -199,7 +201,7 @@
 		}
 		preconnector.Changed()
 	}
-	follower = follow.New(r, peers, views, follow.Config{Self: s.VM, Address: s.PeerListen, Capacity: self.Capacity, OutageGrace: reregisterTime,
+	follower = follow.New(r, peers, views, follow.Config{Self: s.VM, Address: s.PeerListen, Capacity: self.Capacity, OutageGrace: reregisterTime, RestoreGrace: restoreTime,
 		Interval: min(s.DrainWithin.Duration, s.ConfigWithin.Duration) / readsPerBound}, log, scope, apply)
 	nodes = roster.New(r, roster.Config{LeaseTTL: leaseTTL, RenewInterval: renewInterval,
 		ResolveTTL: min(resolveTTL, s.ResolveTTLMax.Duration)}, self, follower.Serving, log)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -28,6 +28,9 @@
 	Interval time.Duration
 	// OutageGrace is how long entries may be missing after an outage of the registry before they count as removed.
 	OutageGrace time.Duration
+	// RestoreGrace is how long a registry that was restored from a copy may lack what operators and leaves have written
+	// since the copy, and list what has left since.
+	RestoreGrace time.Duration
 }
 
 const (
@@ -91,6 +94,8 @@
 	// outageEnd is when the last outage ended. restoredAt is when this node learned that the registry was restored from
 	// a copy. rereadAt is when the state ceases to differ from what the registry contains, or zero if it does not differ.
 	outageEnd, restoredAt, rereadAt time.Time
+	// departed holds when entries of leaves and nodes were last removed from the state.
+	departed map[entryKey]time.Time
 	// lastSeen is when each node's entry was last present, by the address at which the node receives notices.
 	lastSeen map[string]time.Time
 	// viewHints receives addresses of nodes that have a state while this node has none.
@@ -101,7 +106,7 @@
 // New returns a follower that calls onChange from the goroutine of Run for each change of the state.
 func New(r registry.Registry, peers cluster.Peers, views cluster.Views, c Config, log *decision.Log, scope tally.Scope, onChange func(registry.State)) *Follower {
 	return &Follower{registry: r, peers: peers, views: views, config: c, log: log, skipped: scope.Gauge("registry_entries_skipped"),
-		lastSeen: map[string]time.Time{}, viewHints: make(chan string, 1),
+		lastSeen: map[string]time.Time{}, departed: map[entryKey]time.Time{}, viewHints: make(chan string, 1),
 		age: scope.Histogram("view_age", tally.MustMakeExponentialDurationBuckets(250*time.Millisecond, 2, 6)), onChange: onChange}
 }
 
@@ -207,6 +212,7 @@
 		return
 	}
 	f.recordSeen(old.Members, time.Now())
+	f.recordDeparted(old, next, time.Now())
 	f.logChanges(old, next, source)
 	f.onChange(next)
 }
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -184,7 +184,7 @@
 		g.start = func(name string) {
 			refused := &atomic.Bool{}
 			e := endpoint{g.net, name}
-			f := New(refusingRegistry{g.registry, refused}, e, e, Config{Self: name, Address: name, Interval: time.Second, OutageGrace: 2 * time.Second}, log, tally.NoopScope, func(registry.State) {})
+			f := New(refusingRegistry{g.registry, refused}, e, e, Config{Self: name, Address: name, Interval: time.Second, OutageGrace: 2 * time.Second, RestoreGrace: 4 * time.Second}, log, tally.NoopScope, func(registry.State) {})
 			g.net.mu.Lock()
 			g.nodes, g.refused, g.net.views[name] = append(g.nodes, f), append(g.refused, refused), f
 			g.net.mu.Unlock()
--- a/internal/follow/restore_test.go
+++ b/internal/follow/restore_test.go
@@ -77,3 +77,45 @@
 		g.Check(reads <= 20+3*len(g.nodes), qt.IsTrue, qt.Commentf("%d reads in 20 s", reads))
 	})
 }
+
+// Guards against nodes that take the copy for news: the leaves of an evacuated zone, draining leaves, leaves and nodes
+// that have left, and an older configuration would be used again until operators and leaves have written once more.
+func TestCopyBringsNothingBack(t *testing.T) {
+	runGroup(t, 4, func(g *group) {
+		copied := g.prepareRestore()
+		copied.Table = table(4)
+		copied.Members = append(copied.Members, registry.Member{ID: "left", PeerAddress: "left"})
+		g.registry.update(func(s *registry.State) { s.Members = copied.Members })
+		time.Sleep(1200 * time.Millisecond)
+		g.registry.update(func(s *registry.State) {
+			s.Evacuated, s.Members = []string{"z9"}, s.Members[:4]
+			draining := testLeaf("l2", s.Revision)
+			draining.Draining = true
+			s.Leaves = []registry.Leaf{testLeaf("l1", 41), draining, testLeaf("l4", s.Revision)}
+		})
+		time.Sleep(1200 * time.Millisecond)
+		for i := range g.nodes {
+			g.Assert(g.state(i).Evacuated, qt.DeepEquals, []string{"z9"}, qt.Commentf("node %d", i))
+		}
+		g.restore(copied)
+		for step := range 9 { // within the grace for missing entries
+			time.Sleep(200 * time.Millisecond)
+			for i := range g.nodes {
+				s := g.state(i)
+				comment := qt.Commentf("node %d, step %d, epoch %d", i, step, s.Epoch)
+				g.Assert(configVersion(s), qt.Equals, uint64(5))
+				g.Assert(s.Evacuated, qt.DeepEquals, []string{"z9"}, comment)
+				g.Assert(ids(s.Leaves), qt.DeepEquals, []string{"l1", "l2 draining", "l4"}, comment)
+				g.Assert(s.Members, qt.HasLen, 4)
+			}
+		}
+		// What has not been written again by then is what the registry contains, but for an older configuration.
+		time.Sleep(5 * time.Second)
+		for i := range g.nodes {
+			s := g.state(i)
+			g.Assert(configVersion(s), qt.Equals, uint64(5))
+			g.Assert(s.Evacuated, qt.HasLen, 0)
+			g.Assert(ids(s.Leaves), qt.DeepEquals, []string{"l1", "l2", "l3"})
+		}
+	})
+}
