Give nodes that start after a restore the newest configuration

Cause: such a node reads the registry and takes what it contains; the other nodes keep the newest configuration, and nobody compares the two.

Change: a node that hears twice of a configuration that its own read did not bring asks the sender for its view and takes the newer configuration from it. A node that is told of an older one answers with a notice of its own state, so that a node which reads on behalf of all learns it too.

Evidence: TestNodeStartedAfterARestoreLearnsTheNewestConfiguration failed before in all four ranks.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -96,6 +96,8 @@
 	outageEnd, restoredAt, rereadAt time.Time
 	// departed holds when entries of leaves and nodes were last removed from the state.
 	departed map[entryKey]time.Time
+	// wantedVersion is the latest configuration version that another node knew and this node did not.
+	wantedVersion uint64
 	// lastSeen is when each node's entry was last present, by the address at which the node receives notices.
 	lastSeen map[string]time.Time
 	// viewHints receives addresses of nodes that have a state while this node has none.
--- a/internal/follow/notices.go
+++ b/internal/follow/notices.go
@@ -58,6 +58,7 @@
 		return // the last notice of the read shows whether this node is out of date
 	}
 	f.log.Info("notice_unknown", "sender", n.Sender, "epoch", n.Epoch, "known_epoch", f.state.Epoch, "revision", n.Revision, "known", f.state.Revision)
+	f.exchangeTables(ctx, n)
 	// The sender's view is certain, but it is asked last, so that not every node that the registry refuses asks it.
 	if f.refused() && (f.requestView(ctx) || f.fetchView(ctx, n.From)) {
 		return
@@ -65,6 +66,20 @@
 	f.confirm(time.Time{})
 }
 
+// exchangeTables gets the sender's routing configuration if it is newer than this node's, or tells the sender that this
+// node's is newer. The registry lacks the newest one for a while after it was restored from a copy, and a node that
+// starts then reads an older one.
+func (f *Follower) exchangeTables(ctx context.Context, n cluster.Notice) {
+	switch known := configVersion(f.state); {
+	case n.ConfigVersion > known && n.ConfigVersion != f.wantedVersion:
+		f.wantedVersion = n.ConfigVersion // a read comes first
+	case n.ConfigVersion > known && !f.refused():
+		f.fetchView(ctx, n.From)
+	case n.ConfigVersion < known && f.rank() < notifyRanks:
+		f.peers.SendNotice([]string{n.From}, newNotices(f.config.Self, f.state, f.state)[0])
+	}
+}
+
 // endOutage records that some node has read the registry since this node's reads began to fail.
 func (f *Follower) endOutage(now time.Time) {
 	if f.outage {
--- a/internal/follow/restore_test.go
+++ b/internal/follow/restore_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"cyclamenstream/api/cluster"
 	"cyclamenstream/api/registry"
 )
 
@@ -119,3 +120,26 @@
 		}
 	})
 }
+
+// Guards against a node that starts after a restore and serves the older configuration that the registry contains,
+// although the other nodes know the newest one.
+func TestNodeStartedAfterARestoreLearnsTheNewestConfiguration(t *testing.T) {
+	for _, name := range []string{"e", "f", "g", "h"} { // their ranks differ
+		t.Run(name, func(t *testing.T) {
+			runGroup(t, 4, func(g *group) {
+				copied := g.prepareRestore()
+				copied.Table = table(4)
+				g.restore(copied)
+				g.net.mu.Lock()
+				g.net.nodes[name] = make(chan cluster.Notice, 64)
+				g.net.mu.Unlock()
+				g.start(name)
+				g.registry.update(func(s *registry.State) { s.Members = append(s.Members, registry.Member{ID: name, PeerAddress: name}) })
+				time.Sleep(3 * time.Second)
+				for i := range g.nodes {
+					g.Assert(configVersion(g.state(i)), qt.Equals, uint64(5), qt.Commentf("node %d", i))
+				}
+			})
+		})
+	}
+}
--- a/internal/follow/views.go
+++ b/internal/follow/views.go
@@ -111,6 +111,10 @@
 		f.log.Info("view_fetch", "address", address, "revision", v.State.Revision, "known", f.state.Revision,
 			"confirmed", v.Confirmed, "age_ms", decision.Millis(v.Age))
 		f.install(v.State, confirmed, "view of "+address)
+	case configVersion(v.State) > configVersion(f.state):
+		next := f.state
+		next.Table = v.State.Table
+		f.setState(next, "view of "+address)
 	}
 	return v.Confirmed && time.Since(f.confirmed) < f.config.Interval
 }
