Ask the sender of a notice if another node's view is older than it

What callers would see: on a node that the store refuses, a change that is in force a second late.

Cause: a node that the registry refuses and that gets an unknown notice asks another node for its view first, and takes it for the newest if that node was confirmed within the last interval, even if it has not heard the notice itself yet.

Change: a view older than the notice does not end the search; the sender is asked.

--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -98,7 +98,10 @@
 	mu       sync.Mutex
 	nodes    map[string]chan cluster.Notice
 	isolated map[string]bool
-	views    map[string]*Follower
+	// delay is how long notices to the nodes named in delayed take.
+	delay   time.Duration
+	delayed map[string]bool
+	views   map[string]*Follower
 	// viewRequests counts the requests for views.
 	viewRequests int
 }
@@ -119,12 +122,20 @@
 	defer e.mu.Unlock()
 	n.From = e.self
 	for _, to := range addresses {
-		if !e.isolated[e.self] && !e.isolated[to] {
+		if e.isolated[e.self] || e.isolated[to] {
+			continue
+		}
+		deliver := func(queue chan cluster.Notice) {
 			select {
-			case e.nodes[to] <- n:
+			case queue <- n:
 			default:
 			}
 		}
+		if queue := e.nodes[to]; e.delayed[to] {
+			time.AfterFunc(e.delay, func() { deliver(queue) })
+		} else {
+			deliver(queue)
+		}
 	}
 }
 
@@ -203,6 +214,17 @@
 	})
 }
 
+// lastRank returns the index of the node that is the last to read on behalf of the others.
+func (g *group) lastRank() int {
+	last := 0
+	for i, m := range g.registry.state.Members {
+		if readsBefore(g.registry.state.Members[last], m) {
+			last = i
+		}
+	}
+	return last
+}
+
 func (g *group) state(i int) registry.State {
 	g.nodes[i].mu.Lock()
 	defer g.nodes[i].mu.Unlock()
@@ -284,12 +306,7 @@
 // notices meanwhile, so there was no outage in which entries could have expired.
 func TestLeafLeavesAfterARefusal(t *testing.T) {
 	runGroup(t, 3, func(g *group) {
-		last := 0
-		for i, m := range g.registry.state.Members {
-			if readsBefore(g.registry.state.Members[last], m) {
-				last = i
-			}
-		}
+		last := g.lastRank()
 		g.refused[last].Store(true)
 		g.net.setIsolated(string(rune('a'+last)), true)
 		time.Sleep(3 * time.Second) // the node has to read the registry itself, and fails
--- a/internal/follow/notices.go
+++ b/internal/follow/notices.go
@@ -60,7 +60,7 @@
 	f.log.Info("notice_unknown", "sender", n.Sender, "epoch", n.Epoch, "known_epoch", f.state.Epoch, "revision", n.Revision, "known", f.state.Revision)
 	f.exchangeTables(ctx, n)
 	// The sender's view is certain, but it is asked last, so that not every node that the registry refuses asks it.
-	if f.refused() && (f.requestView(ctx) || f.fetchView(ctx, n.From)) {
+	if f.refused() && (f.requestView(ctx) && !f.isBefore(n) || f.fetchView(ctx, n.From)) {
 		return
 	}
 	f.confirm(time.Time{})
@@ -80,6 +80,11 @@
 	}
 }
 
+// isBefore reports whether the state is older than the one that a notice is about.
+func (f *Follower) isBefore(n cluster.Notice) bool {
+	return older(f.state.Epoch, f.state.Revision, registry.State{Epoch: n.Epoch, Revision: n.Revision})
+}
+
 // endOutage records that some node has read the registry since this node's reads began to fail.
 func (f *Follower) endOutage(now time.Time) {
 	if f.outage {
--- a/internal/follow/views_test.go
+++ b/internal/follow/views_test.go
@@ -32,6 +32,30 @@
 	})
 }
 
+// Guards against a node that the registry refuses and that takes the view of a node which has not heard the news yet for
+// the newest.
+func TestRefusedNodeAsksTheSenderIfOthersAreBehind(t *testing.T) {
+	runGroup(t, 4, func(g *group) {
+		refused := g.lastRank()
+		g.net.mu.Lock()
+		g.net.delay, g.net.delayed = 300*time.Millisecond, map[string]bool{}
+		for i := range g.nodes {
+			if i != refused {
+				g.net.delayed[string(rune('a'+i))] = true
+			}
+		}
+		g.net.mu.Unlock()
+		g.refused[refused].Store(true)
+		g.registry.update(func(s *registry.State) { s.Table = table(2) })
+		time.Sleep(4 * time.Second) // the node has found that the registry refuses it alone
+		for i := range 10 {
+			g.registry.update(func(s *registry.State) { s.Table = table(uint64(10 + i)) })
+			time.Sleep(1250 * time.Millisecond) // an interval between two reads, and less than the delay
+			g.Assert(configVersion(g.state(refused)), qt.Equals, uint64(10+i))
+		}
+	})
+}
+
 // Guards against a node whose state gets out of date when the registry refuses it and notices do not reach it either.
 func TestRefusedNodeAsksForViews(t *testing.T) {
 	runGroup(t, 3, func(g *group) {
