--- a/internal/standin/site/leaf.go
+++ b/internal/standin/site/leaf.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -22,7 +23,10 @@
 	delay    time.Duration
 	fault    Fault
 	arrivals []string // identifiers of the received requests, in order of arrival
-	runs     []string // identifiers of the requests that the leaf ran
+	times    []time.Time
+	// rateLimit is the limit in requests/s that the leaf states, if it is not 0. The leaf does not enforce it.
+	rateLimit float64
+	runs      []string // identifiers of the requests that the leaf ran
 	// advertised is the address in the leaf's entry. Empty means the leaf's own address.
 	advertised string
 	budgets    []string // X-Request-Deadline headers of the received requests
@@ -93,6 +97,20 @@
 	return append([]string(nil), l.arrivals...)
 }
 
+// ArrivalTimes returns when the leaf received its requests, in order.
+func (l *Leaf) ArrivalTimes() []time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]time.Time(nil), l.times...)
+}
+
+// SetRateLimit sets the limit in requests/s that the leaf states in its answers; 0 means none.
+func (l *Leaf) SetRateLimit(perSecond float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rateLimit = perSecond
+}
+
 // Runs returns the identifiers of the requests that the leaf ran.
 func (l *Leaf) Runs() []string {
 	l.mu.Lock()
@@ -137,7 +155,10 @@
 func (l *Leaf) serve(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Request-Id")
 	l.mu.Lock()
-	l.arrivals = append(l.arrivals, id)
+	l.arrivals, l.times = append(l.arrivals, id), append(l.times, time.Now())
+	if l.rateLimit > 0 {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(l.rateLimit, 'f', -1, 64))
+	}
 	l.budgets = append(l.budgets, r.Header.Get("X-Request-Deadline"))
 	fault, delay := l.fault, l.delay
 	crashes := l.crashPath != "" && r.URL.Path == l.crashPath
