Let the soak restore the store from a copy

The start itself is checked by TestReloadDuringStart and TestSIGHUPIsIgnoredEarly. A failed test now prints how its processes ended.

--- a/internal/proctest/process.go
+++ b/internal/proctest/process.go
@@ -86,11 +86,15 @@
 }
 
 func (p *Process) stop() {
+	ended := "ended by the test's cleanup"
 	if p.Running() {
 		p.Signal(syscall.SIGKILL)
+		<-p.exited
+	} else {
+		ended = "ended before: " + p.cmd.ProcessState.String()
 	}
-	<-p.exited
 	if p.t.Failed() {
+		p.t.Logf("%s %s", p.Name, ended)
 		lines := p.Log()
 		p.t.Logf("last lines of the log of %s:\n%s", p.Name, strings.Join(lines[max(0, len(lines)-failureLogLines):], "\n"))
 	}
--- a/internal/soak/environment_test.go
+++ b/internal/soak/environment_test.go
@@ -57,8 +57,9 @@
 
 	mu      sync.Mutex
 	process *proctest.Process
-	// boot counts the starts.
-	boot int
+	// boot counts the starts. started is the time of the last one.
+	boot    int
+	started time.Time
 }
 
 func newEnvironment(t *testing.T) *environment {
@@ -102,6 +103,24 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.configVersion++
+	e.putConfig()
+}
+
+// rewriteConfig writes the newest configuration version again.
+func (e *environment) rewriteConfig() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.putConfig()
+}
+
+// registerLeaves writes the entries of all leaves again.
+func (e *environment) registerLeaves() {
+	for _, l := range e.leaves {
+		l.Register(e.store, "ready")
+	}
+}
+
+func (e *environment) putConfig() {
 	const route = `{"name":%q,"hostname":"a.example","prefix":%q,"route_type":%q,"timeout_ms":900,"target_latency_ms":200,"max_attempts":2,%s}`
 	one := `"service":"s1"`
 	routes := []string{
@@ -172,6 +191,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.boot++
+	n.started = time.Now()
 	n.process = proctest.StartProcess(n.env.t, n.name, proctest.Tier, "entry", "--settings", n.settings)
 	n.env.net.Register(n.process)
 }
@@ -207,6 +227,18 @@
 	p.Signal(s)
 }
 
+// signalAge is the age of a process from which it gets signals. A process that does not run yet cannot handle them.
+// TestReloadDuringStart and TestSIGHUPIsIgnoredEarly check the start itself.
+const signalAge = 50 * time.Millisecond
+
+// reload sends SIGHUP.
+func (n *node) reload() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	time.Sleep(signalAge - time.Since(n.started))
+	n.process.Signal(syscall.SIGHUP)
+}
+
 // ready reports whether the node serves the newest configuration version.
 func (n *node) ready() bool {
 	response, _, err := n.get(http.DefaultClient, markerPath(n.env.newestVersion()), "ready")
