Refuse gathered requests at once whose services have no usable leaf

What callers saw: a 502 for a gathered request that could not be answered from the start, since too few of its services had a leaf that may be used, after the other services had worked for it.

Change: the check before the first send counts services without a usable leaf as well as those whose leaves are at their limits. The answer is "not run", with a time to return.

Evidence: TestServicesWithoutLeavesRefuseAtOnce fails without the check.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -155,6 +155,17 @@
 	return s.acquire(c)
 }
 
+// HasUsable reports whether the service has a leaf that may get requests now or later.
+func (p *Pool) HasUsable(c Criteria) bool {
+	s := p.service(c.Service)
+	if s == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.leaves, func(l *leafState) bool { return s.allowed(l, c) })
+}
+
 // LimitDelay returns the time until some usable leaf may get a request under the limits that the leaves state. It is 0
 // if a leaf may get one now, or if there is no usable leaf.
 func (p *Pool) LimitDelay(c Criteria) time.Duration {
--- a/internal/gather/limit.go
+++ b/internal/gather/admission.go
@@ -34,28 +34,30 @@
 	return time.After(delay)
 }
 
-// limitErr returns an error if too few gathered services can admit the request in time under the limits that their
-// leaves state. The request then uses no leaf, so that the limits of the other services remain for requests that can
+// admissionErr returns an error if too few gathered services have a usable leaf that can admit the request in time under
+// the limits that leaves state. The request then uses no leaf, so that the other services remain for requests that can
 // be answered.
-func (r *activeRequest) limitErr() (err error, retryAfter time.Duration) {
+func (r *activeRequest) admissionErr() (retryAfter time.Duration, err error) {
 	services := r.route.Gather
 	m := merger{total: len(services), minShare: r.route.MinShare}
-	var full []string
+	var full, without []string
 	for _, service := range services {
-		if r.exceedsLimitWait(r.dispatcher.Pool.LimitDelay(r.criteria(service))) {
+		if !r.dispatcher.Pool.HasUsable(r.criteria(service)) {
+			without = append(without, service)
+		} else if r.exceedsLimitWait(r.dispatcher.Pool.LimitDelay(r.criteria(service))) {
 			full = append(full, service)
 		}
 	}
-	if m.total-len(full) >= m.needed() {
-		return nil, 0
+	if m.total-len(full)-len(without) >= m.needed() {
+		return 0, nil
 	}
 	for _, service := range full {
 		retryAfter = max(retryAfter, r.dispatcher.Pool.ReturnDelay(r.criteria(service)))
 	}
-	r.trace.Add(decision.Step{Event: "refuse", InputName: "services_at_limit", Input: full,
+	r.trace.Add(decision.Step{Event: "refuse", InputName: "services", Input: map[string][]string{"at_limit": full, "without_leaf": without},
 		Outcome: "too few services admit the request in time"})
-	return verdict.Refusef(verdict.CodeOverloaded, "the leaves of %d of %d services have reached the limits that they state, %d services are needed",
-		len(full), m.total, m.needed()), retryAfter
+	return retryAfter, verdict.Refusef(verdict.CodeOverloaded, "of %d services %d have no usable leaf, and the leaves of %d have reached the limits that they state; %d services are needed",
+		m.total, len(without), len(full), m.needed())
 }
 
 func (r *activeRequest) criteria(service string) direct.Criteria {
--- a/internal/gather/limit_test.go
+++ b/internal/gather/admission_test.go
@@ -6,7 +6,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"cyclamenstream/api/registry"
 	"cyclamenstream/api/verdict"
+	"cyclamenstream/internal/direct"
 )
 
 // stating returns the behaviour of leaves of the services that state a limit in requests/s.
@@ -84,3 +86,18 @@
 		}
 	})
 }
+
+// Guards against requests that load the other services although too many have no usable leaf, and against answering them
+// with "may have run".
+func TestServicesWithoutLeavesRefuseAtOnce(t *testing.T) {
+	simulate(t, nil, func(c *harness) {
+		c.dispatcher.Pool.Update(direct.View{Advertised: []string{"n1"}, Leaves: []registry.Leaf{
+			{ID: "s1a", Service: "s1", Zone: "z1", Slots: 3, Boot: 1}, {ID: "s2a", Service: "s2", Zone: "z1", Slots: 3, Boot: 1},
+			{ID: "s3a", Service: "s3", Zone: "z1", Slots: 3, Boot: 1, Draining: true}}})
+		a, took := c.ask("/all/")
+		c.Assert(verdict.Of(a.Err).IsNotRun(), qt.IsTrue)
+		c.Assert(a.RetryAfter > 0, qt.IsTrue)
+		c.Assert(took, qt.Equals, time.Duration(0))
+		c.Assert(c.leaves.total(), qt.Equals, 0)
+	})
+}
--- a/internal/gather/gather.go
+++ b/internal/gather/gather.go
@@ -224,7 +224,7 @@
 // target latency is near and enough others have answered.
 func (r *activeRequest) serveGathered(ctx context.Context) exchange.Answer {
 	services := r.route.Gather
-	if err, retryAfter := r.limitErr(); err != nil {
+	if retryAfter, err := r.admissionErr(); err != nil {
 		return r.dispatcher.limitAnswer(err, retryAfter)
 	}
 	parts := make(chan part, len(services))
