Give newRoster a struct of parameters and its callback a name

It took twelve parameters and held the code that puts a new state into force. The preconnector is now also told of states without a configuration, for which it has no leaves. No other change.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -174,36 +174,58 @@
 	return &list
 }
 
+// rosterParams holds what newRoster needs.
+type rosterParams struct {
+	fx.In
+
+	Settings    Settings
+	Registry    registry.Registry
+	Peers       *notice.UDPTransport
+	Views       cluster.Views
+	Active      *activeRouting
+	Pool        *direct.Pool
+	Sender      exchange.Sender
+	RetryBudget *budget.Budget
+	Detector    *crashes.Detector
+	Known       *knownPeers
+	Log         *decision.Log
+	Scope       tally.Scope
+}
+
 // newRoster returns this node's membership, the follower of the registry, and the preconnector. They are created
 // together because they need each other.
-func newRoster(s Settings, r registry.Registry, peers *notice.UDPTransport, views cluster.Views, active *activeRouting, pool *direct.Pool, sender exchange.Sender,
-	retryBudget *budget.Budget, detector *crashes.Detector, known *knownPeers, log *decision.Log, scope tally.Scope) (*roster.Roster, *follow.Follower, *prepare.Preconnector) {
+func newRoster(p rosterParams) (*roster.Roster, *follow.Follower, *prepare.Preconnector) {
+	s := p.Settings
 	self := registry.Member{ID: s.VM, Zone: s.Zone, Region: s.Region, CallerAddress: s.CallerListen, PeerAddress: s.PeerListen,
 		Boot: time.Now().UnixMilli(), Capacity: s.ProcessorShare * s.ProcessorSpeed}
-	var follower *follow.Follower
 	var nodes *roster.Roster
-	preconnector := prepare.New(pool, sender, func() bool { return nodes.Ready() && slices.Contains(nodes.Advertised(), s.VM) })
-	apply := func(state registry.State) {
+	preconnector := prepare.New(p.Pool, p.Sender, func() bool { return nodes.Ready() && slices.Contains(nodes.Advertised(), s.VM) })
+	follower := follow.New(p.Registry, p.Peers, p.Views, follow.Config{Self: s.VM, Address: s.PeerListen, Capacity: self.Capacity,
+		OutageGrace: reregisterTime, RestoreGrace: restoreTime, Interval: min(s.DrainWithin.Duration, s.ConfigWithin.Duration) / readsPerBound,
+	}, p.Log, p.Scope, func(state registry.State) {
 		nodes.Update(state.Members)
-		known.Store(peerAddresses(state.Members, s.VM))
-		advertised := nodes.Advertised()
-		retryBudget.SetMax(nodeRetrySlack(s, advertised, len(state.Members)))
-		if state.Table == nil {
-			return
-		}
-		gone := pool.Update(direct.View{Leaves: state.Leaves, Services: state.Table.Services, EvacuatedZones: state.Evacuated, Advertised: advertised, Nodes: len(state.Members)})
-		if old := active.index.Load(); old == nil || old.Table() != state.Table {
-			active.index.Store(routing.NewIndex(state.Table))
-		}
-		for _, l := range gone {
-			sender.Forget(l)
-			detector.LeafDown(l)
-		}
+		p.apply(state, nodes.Advertised())
 		preconnector.Changed()
-	}
-	follower = follow.New(r, peers, views, follow.Config{Self: s.VM, Address: s.PeerListen, Capacity: self.Capacity, OutageGrace: reregisterTime, RestoreGrace: restoreTime,
-		Interval: min(s.DrainWithin.Duration, s.ConfigWithin.Duration) / readsPerBound}, log, scope, apply)
-	nodes = roster.New(r, roster.Config{LeaseTTL: leaseTTL, RenewInterval: renewInterval,
-		ResolveTTL: min(resolveTTL, s.ResolveTTLMax.Duration)}, self, follower.Serving, log)
+	})
+	nodes = roster.New(p.Registry, roster.Config{LeaseTTL: leaseTTL, RenewInterval: renewInterval,
+		ResolveTTL: min(resolveTTL, s.ResolveTTLMax.Duration)}, self, follower.Serving, p.Log)
 	return nodes, follower, preconnector
 }
+
+// apply puts a new state of the registry into force. advertised holds the names of the nodes that callers are sent to.
+func (p rosterParams) apply(state registry.State, advertised []string) {
+	p.Known.Store(peerAddresses(state.Members, p.Settings.VM))
+	p.RetryBudget.SetMax(nodeRetrySlack(p.Settings, advertised, len(state.Members)))
+	if state.Table == nil {
+		return
+	}
+	gone := p.Pool.Update(direct.View{Leaves: state.Leaves, Services: state.Table.Services, EvacuatedZones: state.Evacuated,
+		Advertised: advertised, Nodes: len(state.Members)})
+	if old := p.Active.index.Load(); old == nil || old.Table() != state.Table {
+		p.Active.index.Store(routing.NewIndex(state.Table))
+	}
+	for _, l := range gone {
+		p.Sender.Forget(l)
+		p.Detector.LeafDown(l)
+	}
+}
