Heed leaves that say that they leave or want no requests for a while

Leaves that are about to stop say so in all their answers, and a leaf that turns a request away may say for how long it wants nothing from the node. Neither was read: a node that the registry refuses, or that has not heard yet that a leaf drains, kept sending to it.

A leaf that says that it leaves gets nothing more from this node until its next boot, and one that wants no requests gets none for that long; requests that no leaf admits in time are refused at once with different times to return, as for stated limits. What a node knows about a leaf is kept for a minute after its entry has gone, since an entry may be missing during an outage only. A leaf that becomes cold again without a restart is limited as after one.

--- a/api/exchange/exchange.go
+++ b/api/exchange/exchange.go
@@ -57,6 +57,11 @@
 	// RateLimit is the number of requests a second that the leaf accepts from all nodes together, or +Inf if the leaf
 	// states no limit. It is nil if what the leaf states is not a valid limit.
 	RateLimit *float64
+	// Leaving is set if the leaf says that it is about to stop and wants no further requests.
+	Leaving bool
+	// Pause is the time from the answer on for which the leaf, which has turned the request away, wants no requests from
+	// this node. It is 0 if the leaf states none.
+	Pause time.Duration
 }
 
 // Success reports whether the leaf ran the request successfully and signed the answer.
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -250,3 +250,85 @@
 	ticket.Done(Outcome{Kind: Answered, Load: &exchange.Load{Running: 3, Waiting: 4, Slots: 3}})
 	h.Assert(h.run(Answered, 10*time.Millisecond), qt.Equals, "b")
 }
+
+// Guards against requests to a leaf that has said that it is about to stop, also after the registry has not listed it for
+// a while.
+func TestLeavingLeafGetsNothing(t *testing.T) {
+	h := newHarness(t, "n1", leaf("far", "z2"), leaf("near", "z1"))
+	ticket, _, err := h.pool.Acquire(Criteria{Service: "s"})
+	h.Assert(err, qt.IsNil)
+	h.Assert(ticket.Leaf().ID, qt.Equals, "near")
+	ticket.Done(Outcome{Kind: Answered, Leaving: true})
+	h.Assert(h.next(), qt.Equals, "far")
+	for _, target := range h.pool.Targets() {
+		h.Assert(target.Leaf.ID, qt.Equals, "far")
+	}
+
+	all := h.view.Leaves
+	h.view.Leaves = all[:1]
+	h.pool.Update(h.view)
+	h.now = h.now.Add(departedMemory / 2)
+	h.view.Leaves = all
+	h.pool.Update(h.view)
+	h.Assert(h.next(), qt.Equals, "far")
+
+	restarted := leaf("near", "z1")
+	restarted.Boot = 2
+	h.view.Leaves = []registry.Leaf{leaf("far", "z2"), restarted}
+	h.pool.Update(h.view)
+	h.Assert(h.next(), qt.Equals, "near")
+}
+
+// Guards against requests to a leaf during the time for which it wants none, and against callers that are told nothing
+// or all the same time if each leaf wants none.
+func TestPausedLeafGetsNothing(t *testing.T) {
+	h := newHarness(t, "n1", leaf("far", "z2"), leaf("near", "z1"))
+	pause := func(leaf string, d time.Duration) {
+		ticket, _, err := h.pool.Acquire(Criteria{Service: "s"})
+		h.Assert(err, qt.IsNil)
+		h.Assert(ticket.Leaf().ID, qt.Equals, leaf)
+		ticket.Done(Outcome{Kind: Refused, Pause: d})
+	}
+	pause("near", 800*time.Millisecond)
+	for range 5 {
+		h.Assert(h.next(), qt.Equals, "far")
+	}
+	pause("far", time.Hour)
+	_, freed, err := h.pool.Acquire(Criteria{Service: "s"})
+	h.Assert(verdict.CodeOf(err), qt.Equals, verdict.CodeOverloaded)
+	h.Assert(freed, qt.IsNotNil)
+	delay := h.pool.LimitDelay(Criteria{Service: "s"})
+	h.Assert(delay > 0 && delay < 800*time.Millisecond, qt.IsTrue, qt.Commentf("%v", delay))
+	first, second := h.pool.ReturnDelay(Criteria{Service: "s"}), h.pool.ReturnDelay(Criteria{Service: "s"})
+	h.Assert(first >= delay && second > first, qt.IsTrue, qt.Commentf("%v, %v after %v", first, second, delay))
+
+	h.now = h.now.Add(delay)
+	h.Assert(h.next(), qt.Equals, "near")
+}
+
+// Guards against unlimited requests to a leaf that becomes cold again without a restart.
+func TestLeafBecomesColdAgain(t *testing.T) {
+	const rate = 4.0
+	known := leaf("near", "z1")
+	known.Revision = 1
+	h := newHarness(t, "n1", known)
+	h.view.Services = map[string]route.Service{"s": {Name: "s", WarmupRate: rate}}
+	h.pool.Update(h.view)
+	h.next()
+	cold := known
+	cold.Revision, cold.WarmupLeft = 2, 3*time.Second
+	h.view.Leaves = []registry.Leaf{cold}
+	h.pool.Update(h.view)
+	sent := 0
+	for ; sent < 100; sent++ {
+		ticket, _, err := h.pool.Acquire(Criteria{Service: "s"})
+		if err != nil {
+			break
+		}
+		ticket.Done(Outcome{Kind: Answered})
+	}
+	h.Assert(float64(sent) <= rate*1.5+5, qt.IsTrue, qt.Commentf("%d requests at once", sent))
+	h.pool.Update(h.view) // the same entry does not extend the time
+	h.now = h.now.Add(3 * time.Second)
+	h.next()
+}
--- a/internal/direct/leaf.go
+++ b/internal/direct/leaf.go
@@ -57,6 +57,9 @@
 	Load *exchange.Load
 	// RateLimit is the limit that the leaf has stated, as in exchange.Reply.
 	RateLimit *float64
+	// Leaving and Pause are as in exchange.Reply.
+	Leaving bool
+	Pause   time.Duration
 }
 
 // Kind says how a request to a leaf ended.
@@ -93,6 +96,10 @@
 	rateLimit   rateLimit
 	// replaced is set once another server was found at the leaf's address.
 	replaced bool
+	// leaving is set once the leaf has said that it is about to stop. It holds for the rest of the leaf's boot.
+	leaving bool
+	// pausedUntil is until when the leaf wants no requests from this node.
+	pausedUntil time.Time
 
 	latencies []time.Duration // most recent ones, at most sampleCount
 	median    time.Duration
@@ -117,6 +124,14 @@
 	return l.leaf.ID == o.ID && l.leaf.Boot == o.Boot && l.leaf.Address == o.Address
 }
 
+// update adopts the registry's entry of the same boot. A leaf may become cold again without a restart.
+func (l *leafState) update(entry registry.Leaf, now time.Time) {
+	if entry.Revision != l.leaf.Revision && entry.WarmupLeft > 0 {
+		l.cold.until = now.Add(entry.WarmupLeft)
+	}
+	l.leaf = entry
+}
+
 // rank orders the leaves of a service: leaves in backoff come last, then the expected latency decides.
 type rank struct {
 	inBackoff bool
@@ -136,7 +151,13 @@
 	if l.rateLimit.stated() && p == Hedge {
 		return false
 	}
-	return l.rateLimit.delay(now) <= 0
+	return l.admissionDelay(now) <= 0
+}
+
+// admissionDelay returns the time until the leaf accepts a request from this node, by the limit and the pause that it
+// has stated.
+func (l *leafState) admissionDelay(now time.Time) time.Duration {
+	return max(l.rateLimit.delay(now), l.pausedUntil.Sub(now))
 }
 
 // rank returns the leaf's rank, and whether it can take another request from this node.
@@ -202,6 +223,10 @@
 	if o.RateLimit != nil {
 		l.rateLimit.set(*o.RateLimit, now)
 	}
+	l.leaving = l.leaving || o.Leaving
+	if until := now.Add(o.Pause); o.Pause > 0 && until.After(l.pausedUntil) {
+		l.pausedUntil = until
+	}
 	switch o.Kind {
 	case Answered:
 		l.sampleOnce(d, now)
--- a/internal/direct/service.go
+++ b/internal/direct/service.go
@@ -14,8 +14,11 @@
 type service struct {
 	pool *Pool
 
-	mu             sync.Mutex
-	leaves         []*leafState
+	mu     sync.Mutex
+	leaves []*leafState
+	// departed holds the leaves that the registry listed until recently. One that is listed again, such as after an
+	// outage of the registry, keeps what this node knows about it.
+	departed       []departedLeaf
 	evacuatedZones []string
 	// usualProcessing is a moving average of the processing times of the leaves (latency less the round-trip time).
 	usualProcessing time.Duration
@@ -25,6 +28,14 @@
 	freed chan struct{}
 }
 
+// departedMemory is how long leaves are remembered after the registry has ceased to list them.
+const departedMemory = time.Minute
+
+type departedLeaf struct {
+	*leafState
+	since time.Time
+}
+
 func (s *service) update(leaves []registry.Leaf, settings route.Service, v View) (gone []registry.Leaf) {
 	now := s.pool.config.Now()
 	s.mu.Lock()
@@ -34,11 +45,9 @@
 	old := s.leaves
 	s.leaves = make([]*leafState, 0, len(leaves))
 	for _, l := range leaves {
-		i := slices.IndexFunc(old, func(o *leafState) bool { return o.matches(l) })
-		var state *leafState
-		if i >= 0 {
-			state = old[i]
-			state.leaf.Draining, state.leaf.Slots = l.Draining, l.Slots
+		state := s.known(old, l)
+		if state != nil {
+			state.update(l, now)
 		} else {
 			state = newLeafState(l, s.pool, now)
 		}
@@ -50,12 +59,27 @@
 	for _, o := range old {
 		if !slices.ContainsFunc(leaves, o.matches) {
 			gone = append(gone, o.leaf)
+			s.departed = append(s.departed, departedLeaf{o, now})
 		}
 	}
+	s.departed = slices.DeleteFunc(s.departed, func(d departedLeaf) bool {
+		return now.Sub(d.since) > departedMemory || slices.ContainsFunc(leaves, d.matches)
+	})
 	s.wake()
 	return gone
 }
 
+// known returns what this node knows about the entry's boot of a leaf, or nil. current holds the leaves listed so far.
+func (s *service) known(current []*leafState, entry registry.Leaf) *leafState {
+	if i := slices.IndexFunc(current, func(o *leafState) bool { return o.matches(entry) }); i >= 0 {
+		return current[i]
+	}
+	if i := slices.IndexFunc(s.departed, func(d departedLeaf) bool { return d.matches(entry) }); i >= 0 {
+		return s.departed[i].leafState
+	}
+	return nil
+}
+
 func (s *service) wake() {
 	close(s.freed)
 	s.freed = make(chan struct{})
@@ -89,7 +113,7 @@
 	case best != nil && c.MaxLatency > 0 && bestRank.expected > c.MaxLatency:
 		return nil, s.freed, verdict.Refusef(verdict.CodeOverloaded, "service %q has no leaf that would answer within %v", c.Service, c.MaxLatency)
 	case limited == usable:
-		return nil, s.freed, verdict.Refusef(verdict.CodeOverloaded, "all %d usable leaves of service %q have reached the limits that they state", usable, c.Service)
+		return nil, s.freed, verdict.Refusef(verdict.CodeOverloaded, "all %d usable leaves of service %q have reached the limits that they state or want no requests for a while", usable, c.Service)
 	case best == nil || c.WaitForHealthy && bestRank.inBackoff && healthyFull:
 		return nil, s.freed, verdict.Refusef(verdict.CodeOverloaded, "all %d usable leaves of service %q are full", usable, c.Service)
 	}
@@ -109,7 +133,7 @@
 		if !s.allowed(l, c) {
 			continue
 		}
-		if d := l.rateLimit.delay(now); first || d < delay {
+		if d := l.admissionDelay(now); first || d < delay {
 			delay, first = d, false
 		}
 		perSecond += l.rateLimit.share()
@@ -117,13 +141,20 @@
 	return delay, perSecond
 }
 
+// returnInterval is the time between the returns of callers that leaves without a stated limit have turned away.
+const returnInterval = 20 * time.Millisecond
+
 // returnDelay returns after what time the next refused caller should retry.
 func (s *service) returnDelay(c Criteria, now time.Time) time.Duration {
 	delay, perSecond := s.limitDelay(c, now)
-	if delay <= 0 || perSecond <= 0 {
+	if delay <= 0 {
 		return 0
 	}
-	next := s.lastReturn.Add(time.Duration(float64(time.Second) / perSecond))
+	interval := returnInterval
+	if perSecond > 0 {
+		interval = time.Duration(float64(time.Second) / perSecond)
+	}
+	next := s.lastReturn.Add(interval)
 	if earliest := now.Add(delay); next.Before(earliest) {
 		next = earliest
 	}
@@ -170,7 +201,7 @@
 }
 
 func (s *service) allowed(l *leafState, c Criteria) bool {
-	if l.leaf.Draining || l.replaced || slices.Contains(s.evacuatedZones, l.leaf.Zone) || slices.Contains(c.Exclude, l.leaf.ID) {
+	if l.leaf.Draining || l.leaving || l.replaced || slices.Contains(s.evacuatedZones, l.leaf.Zone) || slices.Contains(c.Exclude, l.leaf.ID) {
 		return false
 	}
 	return len(c.AllowedRegions) == 0 || slices.Contains(c.AllowedRegions, s.pool.config.RegionByZone[l.leaf.Zone])
--- a/internal/gather/fetch.go
+++ b/internal/gather/fetch.go
@@ -243,7 +243,7 @@
 	if s.reply != nil {
 		outcome.Load = s.reply.Load
 		if s.kind != direct.Replaced {
-			outcome.RateLimit = s.reply.RateLimit
+			outcome.RateLimit, outcome.Leaving, outcome.Pause = s.reply.RateLimit, s.reply.Leaving, s.reply.Pause
 		}
 	}
 	ticket.Done(outcome)
