Read no request on a connection that is being closed as unused

A stopping node closes the connections on which no request has arrived. net/http reports the arrival only after it has read the whole header, so that a request read at that moment was passed on to a leaf and its answer could not be delivered. The first byte that is read marks the connection as used now, and bytes that arrive during the close are dropped unread. TestRequestDuringCloseOfUnusedConnections fails without the change.

--- a/internal/entry/callerconn.go
+++ b/internal/entry/callerconn.go
@@ -27,10 +27,16 @@
 	return &callerConn{Conn: c, limits: l.limits, unused: l.unused}, nil
 }
 
-// unusedConns holds the connections on which no request has arrived yet.
+// unusedConns holds the connections on which no byte of a request has arrived yet.
 type unusedConns struct {
 	mu    sync.Mutex
 	conns map[net.Conn]bool
+	// closed holds the connections that close has closed.
+	closed map[net.Conn]bool
+}
+
+func newUnusedConns() *unusedConns {
+	return &unusedConns{conns: map[net.Conn]bool{}, closed: map[net.Conn]bool{}}
 }
 
 func (u *unusedConns) add(c net.Conn) {
@@ -39,10 +45,20 @@
 	u.conns[c] = true
 }
 
-func (u *unusedConns) remove(c net.Conn) {
+// remove reports whether the connection is still open, that is, whether close has not closed it.
+func (u *unusedConns) remove(c net.Conn) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.conns, c)
+	return !u.closed[c]
+}
+
+// forget is called when a connection has ended.
+func (u *unusedConns) forget(c net.Conn) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	delete(u.conns, c)
+	delete(u.closed, c)
 }
 
 // close closes the connections.
@@ -50,6 +66,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for c := range u.conns {
+		u.closed[c] = true
 		// No request is lost, and the caller notices that the connection is closed.
 		_ = c.Close()
 	}
@@ -60,6 +77,8 @@
 	net.Conn
 	limits func() route.Limits
 	unused *unusedConns
+	// used is set once a byte has been read.
+	used atomic.Bool
 	// idle is set if the next deadline is the one for the first byte of another request.
 	idle atomic.Bool
 }
@@ -75,9 +94,19 @@
 		caller.unused.add(c)
 	case http.StateIdle:
 		caller.idle.Store(true)
-	default:
-		caller.unused.remove(c)
+	case http.StateClosed:
+		caller.unused.forget(c)
+	}
+}
+
+// Read implements net.Conn. Bytes that arrive while an unused connection is being closed are dropped, so that no request
+// is passed on whose answer could not be delivered.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.used.Swap(true) && !c.unused.remove(c) {
+		return 0, net.ErrClosed
 	}
+	return n, err
 }
 
 // SetReadDeadline implements net.Conn. It shortens the server's deadlines, for a header and for the next request, to
--- a/internal/entry/callerconn_test.go
+++ b/internal/entry/callerconn_test.go
@@ -95,3 +95,42 @@
 	took = closedAfter(t, kept)
 	c.Check(took > idleLimit/5 && took < 3*idleLimit, qt.IsTrue, qt.Commentf("an idle connection: %v", took))
 }
+
+// pipeConn is a connection whose reads call a function before they return.
+type pipeConn struct {
+	net.Conn
+	beforeReturn func()
+}
+
+func (c pipeConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.beforeReturn()
+	return n, err
+}
+
+// Guards against a request that a stopping node reads and passes on while it closes the connection as unused.
+func TestRequestDuringCloseOfUnusedConnections(t *testing.T) {
+	c := qt.New(t)
+	caller, inner := net.Pipe()
+	unused := newUnusedConns()
+	conn := &callerConn{Conn: pipeConn{inner, unused.close}, unused: unused}
+	connState(conn, http.StateNew)
+	go func() { _, _ = caller.Write([]byte("GET / HTTP/1.1\r\n")) }()
+	n, err := conn.Read(make([]byte, 100))
+	c.Check(n, qt.Equals, 0)
+	c.Check(err, qt.IsNotNil)
+
+	caller, inner = net.Pipe()
+	conn = &callerConn{Conn: inner, unused: unused}
+	connState(conn, http.StateNew)
+	go func() { _, _ = caller.Write([]byte("GET / HTTP/1.1\r\n")) }()
+	n, err = conn.Read(make([]byte, 100))
+	c.Check(err, qt.IsNil)
+	c.Check(n, qt.Equals, 16)
+	unused.close() // a used connection stays open
+	go func() { _, _ = caller.Write([]byte("\r\n")) }()
+	_, err = conn.Read(make([]byte, 100))
+	c.Check(err, qt.IsNil)
+	connState(conn, http.StateClosed)
+	c.Check(unused.conns, qt.HasLen, 0)
+}
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -79,7 +79,7 @@
 }
 
 func newLifecycle(p lifecycleParams) *lifecycle {
-	l := &lifecycle{params: p, unused: &unusedConns{conns: map[net.Conn]bool{}}}
+	l := &lifecycle{params: p, unused: newUnusedConns()}
 	l.callerHandler = platform.NewCallerHandler(p.Dispatcher, l.limits)
 	l.callerServer = newServer(l.callerHandler)
 	l.callerServer.ConnContext, l.callerServer.ConnState = platform.ConnContext, connState
