Pool the connections to leaves without net/http's transport

Package connpool keeps the connections; requests and answers are still written and parsed by net/http. Idle connections hold no buffers.

What changes besides: - The limit of connections can change without closing them; before, each change of the advertised nodes opened all connections anew. - A connection is not reused within the last second of the time for which its leaf keeps it (Keep-Alive). Leaves state 10 s, the client kept connections for 20 s. - A connection whose leaf had closed it while it was idle is no sign of a broken leaf: the request is repeated, at the same leaf too, and the other idle connections to it are closed. Requests that must not run twice use no connection that was idle for over 250 ms. - A dial that nobody waits for any more ends as an idle connection. - An answer that names no request is accepted only as the first one on its connection, since it may be a late second copy.

--- a/api/exchange/exchange.go
+++ b/api/exchange/exchange.go
@@ -17,6 +17,9 @@
 	ErrRefused = errors.New("leaf refused the request")
 	// ErrReplaced means that another server has the leaf's address and the request did not run.
 	ErrReplaced = errors.New("another server has the leaf's address")
+	// ErrStale means that the leaf had closed an idle connection, which was noticed only when the request was sent on it.
+	// The leaf may have run the request.
+	ErrStale = errors.New("leaf had closed the idle connection")
 	// ErrMismatch means that the answer belongs to another request.
 	ErrMismatch = errors.New("answer belongs to another request")
 )
@@ -76,6 +79,8 @@
 	Budget time.Duration
 	// Connections is the largest number of connections that this node may hold to the leaf.
 	Connections int
+	// Once is set if the request must not be sent again when its connection fails.
+	Once bool
 	// Attempt records when bytes may be sent and how the leaf responds. It must not be nil.
 	Attempt *verdict.Attempt
 }
@@ -89,6 +94,8 @@
 	Preconnect(leaf registry.Leaf, connections int)
 	// Forget closes the idle connections to a leaf that is no longer in the registry.
 	Forget(leaf registry.Leaf)
+	// CloseIdle closes the idle connections that cannot be used any more, or all idle connections.
+	CloseIdle(all bool)
 }
 
 // Answer is the answer to a caller. Exactly one of Reply and Gathered is set on success. Reply may be a failure of a
--- a/internal/direct/leaf.go
+++ b/internal/direct/leaf.go
@@ -77,13 +77,16 @@
 	Broken
 	// Replaced means that another server was found at the leaf's address.
 	Replaced
+	// Stale means that the leaf had closed the idle connection before the request was sent on it. It says nothing about
+	// the leaf's health.
+	Stale
 	// Abandoned means that the request was given up before the leaf answered.
 	Abandoned
 )
 
 // String returns the name used in logs and metrics.
 func (k Kind) String() string {
-	return [...]string{"answered", "failed", "refused", "broken", "replaced", "abandoned"}[k]
+	return [...]string{"answered", "failed", "refused", "broken", "replaced", "stale", "abandoned"}[k]
 }
 
 // leafState is what this node knows about one boot of a leaf.
--- a/internal/gather/fetch.go
+++ b/internal/gather/fetch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"cyclamenstream/api/exchange"
@@ -237,7 +238,7 @@
 func (f *fetch) exchange(ticket *direct.Ticket) {
 	s := sendResult{ticket: ticket, attempt: &verdict.Attempt{}}
 	s.reply, s.err = f.dispatcher.Sender.Send(f.activeRequest.sendCtx, ticket.Leaf(), exchange.Outgoing{Request: f.request,
-		Budget: time.Until(f.deadline), Connections: ticket.Connections, Attempt: s.attempt})
+		Budget: time.Until(f.deadline), Connections: ticket.Connections, Once: !f.route.Idempotent, Attempt: s.attempt})
 	s.kind = f.kindOf(s)
 	outcome := direct.Outcome{Kind: s.kind}
 	if s.reply != nil {
@@ -258,7 +259,7 @@
 	switch {
 	case s.kind == direct.Answered || s.kind == direct.Failed && s.err == nil:
 		f.dispatcher.Crashes.Answered(f.fingerprint)
-	case s.kind == direct.Broken && !s.attempt.Verdict().IsNotRun():
+	case (s.kind == direct.Broken || s.kind == direct.Stale) && !s.attempt.Verdict().IsNotRun():
 		f.dispatcher.Crashes.Interrupted(f.fingerprint, f.request.ID, s.ticket.Leaf())
 	}
 }
@@ -273,6 +274,8 @@
 		return direct.Failed
 	case s.err != nil && f.activeRequest.sendCtx.Err() != nil:
 		return direct.Abandoned
+	case errors.Is(s.err, exchange.ErrStale):
+		return direct.Stale
 	case s.err != nil:
 		return direct.Broken
 	case s.reply.Success():
@@ -298,6 +301,10 @@
 	} else {
 		f.lastErr = s.err
 	}
+	if s.kind == direct.Stale {
+		// The leaf may be tried again over a new connection.
+		f.tried = slices.DeleteFunc(f.tried, func(id string) bool { return id == leaf.ID })
+	}
 	if f.sends < maxSends && f.sendAgain("retry") == nil {
 		return false, fetchResult{}
 	}
--- a/internal/gather/gather_test.go
+++ b/internal/gather/gather_test.go
@@ -91,6 +91,7 @@
 
 func (f *fakeLeaves) Preconnect(registry.Leaf, int) {}
 func (f *fakeLeaves) Forget(registry.Leaf)          {}
+func (f *fakeLeaves) CloseIdle(bool)                {}
 
 // leafBudgets returns the time that each send gave the leaf.
 func (f *fakeLeaves) leafBudgets() []time.Duration {
--- a/internal/prepare/prepare.go
+++ b/internal/prepare/prepare.go
@@ -51,7 +51,10 @@
 		case <-ctx.Done():
 			return
 		}
-		if p.receivesCallers() {
+		// A node without callers keeps no connections: many such nodes would use up those that the leaves accept.
+		receivesCallers := p.receivesCallers()
+		p.sender.CloseIdle(!receivesCallers)
+		if receivesCallers {
 			p.preconnect()
 		}
 	}
--- a/internal/prepare/prepare_test.go
+++ b/internal/prepare/prepare_test.go
@@ -18,6 +18,8 @@
 type sender struct {
 	exchange.Sender
 	near, far atomic.Int64
+	// closed counts how often all idle connections were closed.
+	closed atomic.Int64
 }
 
 func (s *sender) Preconnect(l registry.Leaf, _ int) {
@@ -28,6 +30,12 @@
 	}
 }
 
+func (s *sender) CloseIdle(all bool) {
+	if all {
+		s.closed.Add(1)
+	}
+}
+
 // Guards against connections that are opened by nodes without callers, to leaves that get no requests, or too late
 // after a change.
 func TestPrepare(t *testing.T) {
@@ -46,7 +54,9 @@
 		p.Changed()
 		time.Sleep(3*checkInterval + checkInterval/2) // between two checks
 		c.Assert(s.near.Load(), qt.Equals, int64(0))
+		c.Assert(s.closed.Load() > 0, qt.IsTrue)
 		receivesCallers.Store(true)
+		closed := s.closed.Load()
 		p.Changed()
 		synctest.Wait()
 		c.Assert(s.near.Load(), qt.Equals, int64(1))
@@ -54,5 +64,6 @@
 		time.Sleep(checkInterval)
 		synctest.Wait()
 		c.Assert(s.far.Load(), qt.Equals, int64(2))
+		c.Assert(s.closed.Load(), qt.Equals, closed)
 	})
 }
