Send callers to as few nodes as their capacity, the leaves' connections and the load allow

On the large deployment all 295 nodes were advertised, since the high-capacity nodes have less than a quarter of a zone's capacity. Each node then opened a connection to each leaf, 658,439 of which were reset over the leaves' cap, used it once in many seconds, and spent 65 ms on a query to 90 leaves where the target is 80 ms.

The guess by capacity is replaced by what the nodes measure: each one estimates how busy its processor is from how often a timer fires late, and an advertised node that is overloaded says so in its entry. Callers are sent to the high-capacity nodes of their zone unless at least half of these are overloaded; and to no more nodes than have two connections to each leaf, doubled while half of them are overloaded, down to one connection. Nodes that callers are not sent to have a fifth of a leaf's connections and keep none open.

--- a/api/registry/registry.go
+++ b/api/registry/registry.go
@@ -47,6 +47,8 @@
 	Boot int64
 	// Capacity is the processor time that the node may use, in cores. It is 0 if it is not known.
 	Capacity float64
+	// Overloaded is set while the node's processor has little time left for further requests.
+	Overloaded bool
 }
 
 // OperatorState holds the data that the operators have written.
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -29,6 +29,9 @@
 	Log *slog.Logger
 }
 
+// advertisedConnections is the part of a leaf's connections for the nodes that callers are sent to, if there are others.
+const advertisedConnections = 0.8
+
 // View is the state of the registry by which the pool selects leaves.
 type View struct {
 	Leaves         []registry.Leaf
@@ -76,16 +79,18 @@
 	return gone
 }
 
-// connectionShare returns this node's share of the connections that a leaf accepts, at least one. A node that is not
-// advertised to callers gets one.
-func (c Config) connectionShare(limit int, advertised []string) int {
+// connectionShare returns this node's share of the connections that a leaf accepts, at least one. The nodes that are
+// advertised to callers divide most of them; each other node gets one, which it seldom uses.
+func (c Config) connectionShare(limit int, t tier) int {
 	switch {
 	case limit <= 0:
 		return defaultConnections
-	case !slices.Contains(advertised, c.Self):
+	case !slices.Contains(t.advertised, c.Self):
 		return 1
+	case t.nodes > len(t.advertised):
+		limit = int(float64(limit) * advertisedConnections)
 	}
-	return max(1, limit/len(advertised))
+	return max(1, limit/len(t.advertised))
 }
 
 // Target is a leaf that requests may be sent to, and the number of connections that this node may hold to it.
--- a/internal/direct/service.go
+++ b/internal/direct/service.go
@@ -51,7 +51,7 @@
 		} else {
 			state = newLeafState(l, s.pool, now)
 		}
-		state.connections = s.pool.config.connectionShare(settings.MaxConnections, v.Advertised)
+		state.connections = s.pool.config.connectionShare(settings.MaxConnections, nodes)
 		state.cold.setShare(settings, s.pool.config, l.ID, v.Advertised)
 		state.rateLimit.setTier(nodes, now)
 		s.leaves = append(s.leaves, state)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	"cyclamenstream/api/cluster"
 	"cyclamenstream/api/exchange"
 	"cyclamenstream/api/registry"
+	"cyclamenstream/api/route"
 	"cyclamenstream/internal/crashes"
 	"cyclamenstream/internal/decision"
 	"cyclamenstream/internal/direct"
@@ -203,7 +204,7 @@
 	follower := follow.New(p.Registry, p.Peers, p.Views, follow.Config{Self: s.VM, Address: s.PeerListen, Capacity: self.Capacity,
 		OutageGrace: reregisterTime, RestoreGrace: restoreTime, Interval: min(s.DrainWithin.Duration, s.ConfigWithin.Duration) / readsPerBound,
 	}, p.Log, p.Scope, func(state registry.State) {
-		nodes.Update(state.Members)
+		nodes.Update(state.Members, leafConnections(state.Table))
 		p.apply(state, nodes.Advertised())
 		preconnector.Changed()
 	})
@@ -212,6 +213,21 @@
 	return nodes, follower, preconnector
 }
 
+// leafConnections returns the smallest number of connections that a leaf of any service accepts from all nodes together, or
+// 0 if no service states a limit.
+func leafConnections(t *route.Table) int {
+	smallest := 0
+	if t == nil {
+		return smallest
+	}
+	for _, s := range t.Services {
+		if s.MaxConnections > 0 && (smallest == 0 || s.MaxConnections < smallest) {
+			smallest = s.MaxConnections
+		}
+	}
+	return smallest
+}
+
 // apply puts a new state of the registry into force. advertised holds the names of the nodes that callers are sent to.
 func (p rosterParams) apply(state registry.State, advertised []string) {
 	p.Known.Store(peerAddresses(state.Members, p.Settings.VM))
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -19,6 +19,7 @@
 	"cyclamenstream/internal/notice"
 	"cyclamenstream/internal/prepare"
 	"cyclamenstream/internal/roster"
+	"cyclamenstream/internal/utilization"
 	"cyclamenstream/platform"
 )
 
@@ -70,6 +71,7 @@
 type lifecycle struct {
 	params lifecycleParams
 
+	meter         utilization.Meter
 	callerHandler *platform.CallerHandler
 	callerServer  *http.Server
 	unused        *unusedConns
@@ -141,10 +143,17 @@
 	go l.params.Roster.Run(ctx)
 	go l.params.Crashes.Run(ctx)
 	go l.params.Preconnector.Run(ctx)
+	go l.meter.Run(ctx, l.loadChanged)
 	l.params.Log.Info("start", "region", s.Region, "caller_listen", s.CallerListen, "registry", s.Registry)
 	return nil
 }
 
+// loadChanged records that the processor has become overloaded or has ceased to be.
+func (l *lifecycle) loadChanged(overloaded bool, utilization float64) {
+	l.params.Log.Info("processor", "overloaded", overloaded, "utilization", utilization)
+	l.params.Roster.SetOverloaded(overloaded)
+}
+
 func (l *lifecycle) serve(server *http.Server, listener net.Listener) {
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		l.listenerEnded(listener, err)
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -39,6 +39,9 @@
 	for _, m := range s.Members {
 		writeString(m.ID)
 		writeUint64(uint64(m.Boot))
+		if m.Overloaded {
+			writeString("overloaded")
+		}
 	}
 	return h.Sum64()
 }
--- a/internal/notice/encoding.go
+++ b/internal/notice/encoding.go
@@ -79,7 +79,7 @@
 	var list []*noticepb.Member
 	for _, m := range members {
 		list = append(list, &noticepb.Member{Id: m.ID, Zone: m.Zone, Region: m.Region,
-			CallerAddress: m.CallerAddress, PeerAddress: m.PeerAddress, Boot: m.Boot, Capacity: m.Capacity})
+			CallerAddress: m.CallerAddress, PeerAddress: m.PeerAddress, Boot: m.Boot, Capacity: m.Capacity, Overloaded: m.Overloaded})
 	}
 	return list
 }
@@ -88,7 +88,7 @@
 	var list []registry.Member
 	for _, m := range members {
 		list = append(list, registry.Member{ID: m.Id, Zone: m.Zone, Region: m.Region,
-			CallerAddress: m.CallerAddress, PeerAddress: m.PeerAddress, Boot: m.Boot, Capacity: m.Capacity})
+			CallerAddress: m.CallerAddress, PeerAddress: m.PeerAddress, Boot: m.Boot, Capacity: m.Capacity, Overloaded: m.Overloaded})
 	}
 	return list
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,18 +39,26 @@
 	serving  func() bool
 	log      *decision.Log
 
-	mu        sync.Mutex
-	members   []registry.Member
-	lease     uint64
-	published time.Time
-	// missing is set if the registry's list of nodes lacks this node's entry.
+	// changed receives a signal when the entry has to be written again.
+	changed chan struct{}
+
+	mu      sync.Mutex
+	members []registry.Member
+	// leafConnections is as in placement.
+	leafConnections int
+	// overloaded is set while the processor of this node is overloaded. self.Overloaded is what the entry says.
+	overloaded bool
+	lease      uint64
+	published  time.Time
+	// missing is set if the registry's list of nodes lacks this node's entry. outdated is set if the entry differs from self.
 	missing  bool
+	outdated bool
 	stopping bool
 }
 
 // New returns the roster of a node. serving reports whether the node can serve requests.
 func New(r registry.Registry, c Config, self registry.Member, serving func() bool, log *decision.Log) *Roster {
-	return &Roster{registry: r, config: c, self: self, serving: serving, log: log}
+	return &Roster{registry: r, config: c, self: self, serving: serving, log: log, changed: make(chan struct{}, 1)}
 }
 
 // Run maintains the entry until ctx ends. It writes the entry as soon as this node can serve.
@@ -60,6 +69,7 @@
 	for {
 		select {
 		case <-timer.C:
+		case <-r.changed:
 		case <-ctx.Done():
 			return
 		}
@@ -90,12 +100,18 @@
 	defer cancel()
 	r.mu.Lock()
 	lease, missing, stopping := r.lease, r.missing, r.stopping
+	outdated := r.updateSelf()
+	self := r.self
 	r.mu.Unlock()
 	if stopping {
 		return nil
 	}
 	if lease != 0 {
 		err := r.registry.Renew(ctx, lease)
+		if err == nil && !missing && outdated {
+			err = r.registry.Publish(ctx, lease, self)
+			r.setOutdated(err != nil)
+		}
 		if err == nil && !missing {
 			return nil
 		}
@@ -113,8 +129,11 @@
 	if err != nil {
 		return err
 	}
-	if !r.isStopping() {
-		err = r.registry.Publish(ctx, lease, r.self)
+	r.mu.Lock()
+	stopping, self := r.stopping, r.self
+	r.mu.Unlock()
+	if !stopping {
+		err = r.registry.Publish(ctx, lease, self)
 	}
 	if !r.adopt(lease, err) {
 		return errors.Join(err, r.revoke(context.WithoutCancel(ctx), lease))
@@ -135,16 +154,45 @@
 		return false
 	}
 	if publishErr == nil {
-		r.lease, r.published, r.missing = lease, time.Now(), false
+		r.lease, r.published, r.missing, r.outdated = lease, time.Now(), false, false
 	}
 	return true
 }
 
+// SetOverloaded sets whether the processor of this node is overloaded.
+func (r *Roster) SetOverloaded(overloaded bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.overloaded = overloaded
+	if r.lease != 0 {
+		select {
+		case r.changed <- struct{}{}:
+		default: // the signal before has not been handled yet
+		}
+	}
+}
+
+// updateSelf updates what this node says about itself, and reports whether the entry says something else. The other nodes
+// need to know of an overload only while callers are sent to this node.
+func (r *Roster) updateSelf() bool {
+	if overloaded := r.overloaded && slices.Contains(r.advertised(), r.self.ID); overloaded != r.self.Overloaded {
+		r.self.Overloaded, r.outdated = overloaded, true
+	}
+	return r.outdated
+}
+
+func (r *Roster) setOutdated(outdated bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.outdated = outdated
+}
+
 // Update sets the list of nodes that the registry holds, and notes whether this node's entry is missing from it.
-func (r *Roster) Update(members []registry.Member) {
+// leafConnections is the number of connections that each leaf accepts from all nodes together; 0 means no limit.
+func (r *Roster) Update(members []registry.Member, leafConnections int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.members = members
+	r.members, r.leafConnections = members, leafConnections
 	if r.lease == 0 || time.Since(r.published) < publishGrace {
 		return
 	}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -27,6 +27,7 @@
 	lastRenewal        atomic.Pointer[time.Time]
 	// entries holds the leases under which the entry is written.
 	entries sync.Map
+	entry   atomic.Pointer[registry.Member]
 	// during, if set, is called while the named call waits for its answer.
 	during func(call string)
 }
@@ -42,7 +43,8 @@
 	return uint64(l.granted.Add(1)), nil
 }
 
-func (l *fakeLeases) Publish(_ context.Context, lease uint64, _ registry.Member) error {
+func (l *fakeLeases) Publish(_ context.Context, lease uint64, m registry.Member) error {
+	l.entry.Store(&m)
 	l.published.Add(1)
 	l.entries.Store(lease, true)
 	l.call("publish")
@@ -140,10 +142,10 @@
 		c.Assert(l.published.Load(), qt.Equals, int64(2))
 
 		time.Sleep(publishGrace + time.Second)
-		r.Update([]registry.Member{{ID: "n2"}})
+		r.Update([]registry.Member{{ID: "n2"}}, 0)
 		time.Sleep(time.Second)
 		c.Assert(l.published.Load(), qt.Equals, int64(3))
-		r.Update([]registry.Member{{ID: "n2"}, self})
+		r.Update([]registry.Member{{ID: "n2"}, self}, 0)
 		time.Sleep(5 * time.Second)
 		c.Assert(l.published.Load(), qt.Equals, int64(3))
 	})
@@ -192,7 +194,7 @@
 func TestResolveNearest(t *testing.T) {
 	run(t, func(c *qt.C, _ *fakeLeases, r *Roster) {
 		time.Sleep(2 * time.Second)
-		r.Update([]registry.Member{self, {ID: "n2", Zone: "z2", Region: "r1", CallerAddress: "b"}, {ID: "n3", Zone: "z3", Region: "r3", CallerAddress: "c"}})
+		r.Update([]registry.Member{self, {ID: "n2", Zone: "z2", Region: "r1", CallerAddress: "b"}, {ID: "n3", Zone: "z3", Region: "r3", CallerAddress: "c"}}, 0)
 		cases := []struct {
 			region, zone string
 			want         []string
@@ -210,3 +212,27 @@
 		}
 	})
 }
+
+// Guards against an overload that other nodes do not learn of, one that they learn of without need, and an entry that is
+// written again and again.
+func TestOverloadIsPublished(t *testing.T) {
+	run(t, func(c *qt.C, l *fakeLeases, r *Roster) {
+		r.SetOverloaded(true) // before there is an entry
+		time.Sleep(2 * time.Second)
+		c.Check(l.published.Load(), qt.Equals, int64(1))
+		c.Check(l.entry.Load().Overloaded, qt.IsTrue)
+		r.SetOverloaded(false)
+		time.Sleep(100 * time.Millisecond)
+		c.Check(l.published.Load(), qt.Equals, int64(2))
+		c.Check(l.entry.Load().Overloaded, qt.IsFalse)
+		time.Sleep(5 * time.Second)
+		c.Check(l.published.Load(), qt.Equals, int64(2))
+		c.Check(l.granted.Load(), qt.Equals, int64(1))
+
+		high := func(id string) registry.Member { return registry.Member{ID: id, Zone: "z1", Region: "r1", Capacity: 8} }
+		r.Update([]registry.Member{self, high("n2"), high("n3")}, 0) // callers are sent to the others
+		r.SetOverloaded(true)
+		time.Sleep(5 * time.Second)
+		c.Check(l.published.Load(), qt.Equals, int64(2))
+	})
+}
