Apply chains of notices to any state between their ends

When a fleet starts, or many entries change at once, nodes read the registry at different moments, and a chain of notices applied only to the state from which its sender had started: each node read the registry again, two calls each for 295 nodes. A node now applies the notices of a read one after the other, to whatever state it has, and adopts the result if it has the digest of the last notice, so a state that includes some of the changes already leads to it too. Chains of several senders may arrive by turns. The pool of leaves is updated once for a chain instead of once for a datagram.

--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -478,3 +479,42 @@
 	}
 	qt.Assert(t, len(ages) >= 15, qt.IsTrue)
 }
+
+// Guards against a node that reads the registry itself because the notices of two readers arrive by turns, or because its
+// state already includes some of the changes.
+func TestNoticesOfTwoReaders(t *testing.T) {
+	runGroup(t, 3, func(g *group) {
+		reads := g.registry.readCount()
+		own := g.state(0)
+		withLeaves := func(s registry.State, from, to int) registry.State {
+			for i := from; i < to; i++ {
+				s.Leaves = append(slices.Clone(s.Leaves), testLeaf(fmt.Sprintf("m%02d", i), 9))
+			}
+			s.Revision++
+			return s
+		}
+		middle := withLeaves(own, 0, 15)
+		next := withLeaves(middle, 15, 40)
+		g.registry.update(func(s *registry.State) { *s = next })
+		fromB, fromC := newNotices("b", own, next), newNotices("c", middle, next)
+		g.Assert(len(fromB), qt.Equals, 4)
+		g.Assert(len(fromC), qt.Equals, 3)
+		for i := range fromB {
+			g.net.nodes["a"] <- fromB[i]
+			if i < len(fromC)-1 { // the last one of the other reader is lost
+				g.net.nodes["a"] <- fromC[i]
+			}
+		}
+		time.Sleep(2 * tickInterval)
+		g.Assert(g.state(0).Leaves, qt.HasLen, 41)
+		g.Assert(g.registry.readCount(), qt.Equals, reads)
+
+		last := withLeaves(next, 40, 42)
+		for _, n := range newNotices("b", middle, last) { // an older base
+			g.net.nodes["a"] <- n
+		}
+		time.Sleep(2 * tickInterval)
+		g.Assert(g.state(0).Leaves, qt.HasLen, 43)
+		g.Assert(g.registry.readCount(), qt.Equals, reads)
+	})
+}
--- a/internal/follow/notices.go
+++ b/internal/follow/notices.go
@@ -36,27 +36,23 @@
 	}
 	now, currentDigest := time.Now(), digest(f.state)
 	f.endOutage(now)
-	switch {
-	case n.Digest == currentDigest:
+	if n.Digest == currentDigest {
 		f.mu.Lock()
 		f.state.Revision = n.Revision
 		f.mu.Unlock()
 		f.confirmFromNotice(n, now)
 		return
-	case n.Base == currentDigest && !n.Partial:
-		next := applyNotice(f.state, n)
-		if n.ConfigVersion != configVersion(next) && !f.fetchTable(ctx, &next, n.ConfigVersion) {
-			break
-		}
-		if digest(next) == n.Digest {
-			f.confirmFromNotice(n, now)
-			f.recordRestore(next, now, "notice of "+n.Sender)
-			f.setState(next, "notice of "+n.Sender)
-			return
-		}
-	case n.More:
+	}
+	next := f.applyInTurn(n)
+	if n.More {
 		return // the last notice of the read shows whether this node is out of date
 	}
+	if !n.Partial && (n.ConfigVersion == configVersion(next) || f.fetchTable(ctx, &next, n.ConfigVersion)) && digest(next) == n.Digest {
+		f.confirm(now)
+		f.recordRestore(next, now, "notice of "+n.Sender)
+		f.setState(next, "notice of "+n.Sender)
+		return
+	}
 	f.log.Info("notice_unknown", "sender", n.Sender, "epoch", n.Epoch, "known_epoch", f.state.Epoch, "revision", n.Revision, "known", f.state.Revision)
 	f.exchangeTables(ctx, n)
 	// The sender's view is certain, but it is asked last, so that not every node that the registry refuses asks it.
@@ -66,6 +62,36 @@
 	f.confirm(time.Time{})
 }
 
+// noticeChain is the state after the notices of one read that have been received so far.
+type noticeChain struct {
+	epoch, revision uint64
+	state           registry.State
+	latest          time.Time
+}
+
+const (
+	// chainTimeout is the time after which the rest of a chain is not expected any more.
+	chainTimeout = time.Second
+	// maxChains bounds the memory of chains. Only the nodes of the first ranks send notices.
+	maxChains = notifyRanks
+)
+
+// applyInTurn applies a notice to the state after the notices of the same read before it, or to the current state if it is
+// the first one. The result is only certain if it has the digest of the last notice. The current state need not be the one
+// to which the sender has compared: a state that already includes some of the changes leads to the same result.
+func (f *Follower) applyInTurn(n cluster.Notice) registry.State {
+	state, now := f.state, time.Now()
+	if c, ok := f.chains[n.Sender]; ok && c.epoch == n.Epoch && c.revision == n.Revision {
+		state = c.state
+	}
+	next := applyNotice(state, n)
+	maps.DeleteFunc(f.chains, func(sender string, c noticeChain) bool { return sender == n.Sender || now.Sub(c.latest) > chainTimeout })
+	if n.More && len(f.chains) < maxChains {
+		f.chains[n.Sender] = noticeChain{n.Epoch, n.Revision, next, now}
+	}
+	return next
+}
+
 // exchangeTables gets the sender's routing configuration if it is newer than this node's, or tells the sender that this
 // node's is newer. The registry lacks the newest one for a while after it was restored from a copy, and a node that
 // starts then reads an older one.
