Read the registry serializably to catch up, to start and while it refuses the node

- A node that a notice shows to be out of date does a serializable read, at a tenth of the price.
If that has at least the notice's revision, it is as new as the sender's read; otherwise a linearizable one follows.
The nodes spread these reads over a time.
- Notices of one read are limited to 1 MB over all nodes.
The 295 entries of a start were 8800 datagrams, most of which links dropped.
Above the limit a notice without the changes is sent.
- A node that starts reads what the operators have written linearizably, since it must not go back to what they have replaced, and the rest serializably.
The overlapping reads are of the small part only.
Nodes with less than 0.3 cores read later: at a start of all, the answers are limited by the store's link, and callers are sent to the others.
- A node that the store refuses tries serializable reads.

TestMissingEntriesAreDroppedInTime counts reads of either kind as the return of the registry; its bounds are unchanged.

--- a/api/registry/registry.go
+++ b/api/registry/registry.go
@@ -87,9 +87,9 @@
 // Registry is the platform's registry. Implementations are safe for concurrent use; ctx bounds every call.
 type Registry interface {
 	// Read reads the whole content of the registry.
-	Read(ctx context.Context) (State, error)
-	// ReadOperatorState reads what the operators have written.
-	ReadOperatorState(ctx context.Context, c Consistency) (OperatorState, error)
+	Read(ctx context.Context, c Consistency) (State, error)
+	// ReadOperatorState reads what the operators have written. The state has neither leaves nor members.
+	ReadOperatorState(ctx context.Context, c Consistency) (State, error)
 	// Grant returns a new lease.
 	Grant(ctx context.Context, ttl time.Duration) (lease uint64, err error)
 	// Renew extends a lease by its time to live, or returns ErrNoLease.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -40,8 +40,6 @@
 	// maximum age if that is longer and the node can serve.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 600 * time.Millisecond
-	// firstReadInterval is the time between the overlapping reads of a node that has no state yet.
-	firstReadInterval = 250 * time.Millisecond
 	// Each rank waits longer than the one before it until it reads the registry itself. The extra wait is rankStep
 	// intervals per rank up to firstRanks, and lateRankStep intervals per rank above. maxRankWait bounds the sum, and
 	// thus the age of the state that a node acts on.
@@ -94,6 +92,13 @@
 	// outageEnd is when the last outage ended. restoredAt is when this node learned that the registry was restored from
 	// a copy. rereadAt is when the state ceases to differ from what the registry contains, or zero if it does not differ.
 	outageEnd, restoredAt, rereadAt time.Time
+	// behind is set if the state is known to be out of date, or may be because the process was paused.
+	behind bool
+	// rereadUnlisted is set if this node has started, was not listed in the state that it has read, and reads it once more to
+	// learn its rank.
+	rereadUnlisted bool
+	// catchUp is the read that is due because of a notice.
+	catchUp catchUp
 	// departed holds when entries of leaves and nodes were last removed from the state.
 	departed map[entryKey]time.Time
 	// wantedVersion is the latest configuration version that another node knew and this node did not.
@@ -126,8 +131,12 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	f.lastTick = time.Now()
+	f.nextRead = f.lastTick.Add(f.config.firstDelay())
 	for {
 		f.checkPause()
+		if now := time.Now(); !f.catchUp.due.IsZero() && !now.Before(f.catchUp.due) {
+			f.runCatchUp(ctx)
+		}
 		if now := time.Now(); f.readDue(now) {
 			f.read(ctx)
 		}
@@ -167,7 +176,7 @@
 		return
 	}
 	f.log.Info("paused", "monotonic_ms", decision.Millis(monotonic), "wall_ms", decision.Millis(wallClock))
-	f.confirm(time.Time{})
+	f.markBehind()
 	f.nextRead = time.Time{}
 	for {
 		select {
@@ -178,6 +187,12 @@
 	}
 }
 
+// markBehind records that the state may be out of date, so that a linearizable read is due.
+func (f *Follower) markBehind() {
+	f.behind = true
+	f.confirm(time.Time{})
+}
+
 // maxAge is the time after the last confirmation at which this node reads the registry itself. It grows with the node's
 // rank, so that one node reads and the next rank takes over when that node sends no more notices.
 func (f *Follower) maxAge() time.Duration {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -27,32 +27,43 @@
 	mu    sync.Mutex
 	state registry.State
 	err   error
-	reads int
+	// reads and cheapReads count the linearizable and the serializable reads.
+	reads, cheapReads int
+	// stale is what serializable reads return, if set.
+	stale *registry.State
 	// staleOperator is what serializable reads of the operators' configuration return, if set.
 	staleOperator     *registry.OperatorState
 	serializableReads int
 	linearizableReads int
 }
 
-func (f *fakeRegistry) Read(context.Context) (registry.State, error) {
+func (f *fakeRegistry) Read(_ context.Context, consistency registry.Consistency) (registry.State, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if consistency == registry.Serializable {
+		f.cheapReads++
+		if f.stale != nil {
+			return *f.stale, f.err
+		}
+		return f.state, f.err
+	}
 	f.reads++
 	return f.state, f.err
 }
 
-func (f *fakeRegistry) ReadOperatorState(_ context.Context, consistency registry.Consistency) (registry.OperatorState, error) {
+func (f *fakeRegistry) ReadOperatorState(_ context.Context, consistency registry.Consistency) (registry.State, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	state := registry.State{OperatorState: f.state.OperatorState, Epoch: f.state.Epoch, Revision: f.state.Revision}
 	if consistency == registry.Serializable {
 		f.serializableReads++
 		if f.staleOperator != nil {
-			return *f.staleOperator, f.err
+			state.OperatorState = *f.staleOperator
 		}
 	} else {
 		f.linearizableReads++
 	}
-	return f.state.OperatorState, f.err
+	return state, f.err
 }
 
 func (f *fakeRegistry) update(change func(*registry.State)) {
@@ -74,22 +85,34 @@
 	return f.reads
 }
 
+// allReads returns the number of reads of either consistency.
+func (f *fakeRegistry) allReads() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reads + f.cheapReads
+}
+
 // refusingRegistry is one node's access to the registry, which can refuse that node alone.
 type refusingRegistry struct {
 	*fakeRegistry
 	refused *atomic.Bool
+	// refusedReads counts the linearizable reads that were refused.
+	refusedReads *atomic.Int64
 }
 
-func (r refusingRegistry) Read(ctx context.Context) (registry.State, error) {
+func (r refusingRegistry) Read(ctx context.Context, consistency registry.Consistency) (registry.State, error) {
 	if r.refused.Load() {
+		if consistency == registry.Linearizable {
+			r.refusedReads.Add(1)
+		}
 		return registry.State{}, errors.New("refused")
 	}
-	return r.fakeRegistry.Read(ctx)
+	return r.fakeRegistry.Read(ctx, consistency)
 }
 
-func (r refusingRegistry) ReadOperatorState(ctx context.Context, consistency registry.Consistency) (registry.OperatorState, error) {
+func (r refusingRegistry) ReadOperatorState(ctx context.Context, consistency registry.Consistency) (registry.State, error) {
 	if r.refused.Load() {
-		return registry.OperatorState{}, errors.New("refused")
+		return registry.State{}, errors.New("refused")
 	}
 	return r.fakeRegistry.ReadOperatorState(ctx, consistency)
 }
@@ -103,8 +126,8 @@
 	delay   time.Duration
 	delayed map[string]bool
 	views   map[string]*Follower
-	// viewRequests counts the requests for views.
-	viewRequests int
+	// viewRequests counts the requests for views, notices the notices.
+	viewRequests, notices int
 }
 
 type endpoint struct {
@@ -122,6 +145,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	n.From = e.self
+	e.notices += len(addresses)
 	for _, to := range addresses {
 		if e.isolated[e.self] || e.isolated[to] {
 			continue
@@ -169,7 +193,8 @@
 	net      *network
 	nodes    []*Follower
 	// refused reports for each node whether the registry refuses it.
-	refused []*atomic.Bool
+	refused      []*atomic.Bool
+	refusedReads []*atomic.Int64
 	// start starts the node with the given name.
 	start func(name string)
 }
@@ -194,11 +219,12 @@
 			g.registry.state.Members = append(g.registry.state.Members, registry.Member{ID: name, PeerAddress: name})
 		}
 		g.start = func(name string) {
-			refused := &atomic.Bool{}
+			refused, refusedReads := &atomic.Bool{}, &atomic.Int64{}
 			e := endpoint{g.net, name}
-			f := New(refusingRegistry{g.registry, refused}, e, e, Config{Self: name, Address: name, Interval: time.Second, OutageGrace: 2 * time.Second, RestoreGrace: 4 * time.Second}, log, tally.NoopScope, func(registry.State) {})
+			f := New(refusingRegistry{g.registry, refused, refusedReads}, e, e, Config{Self: name, Address: name, Interval: time.Second, OutageGrace: 2 * time.Second, RestoreGrace: 4 * time.Second}, log, tally.NoopScope, func(registry.State) {})
 			g.net.mu.Lock()
 			g.nodes, g.refused, g.net.views[name] = append(g.nodes, f), append(g.refused, refused), f
+			g.refusedReads = append(g.refusedReads, refusedReads)
 			g.net.mu.Unlock()
 			running.Go(func() { f.Run(ctx) })
 		}
@@ -350,9 +376,9 @@
 		r.setError(errors.New("down"))
 		time.Sleep(30 * time.Second)
 		r.update(func(s *registry.State) { s.Leaves = nil })
-		reads := r.readCount()
+		reads := r.allReads()
 		r.setError(nil)
-		for r.readCount() == reads {
+		for r.allReads() == reads {
 			time.Sleep(tickInterval)
 		}
 		returned := time.Now()
@@ -480,11 +506,48 @@
 	qt.Assert(t, len(ages) >= 15, qt.IsTrue)
 }
 
+// Guards against a node that goes back to an older configuration because a notice leads to a state that has it.
+func TestNoticeOfAnOlderConfiguration(t *testing.T) {
+	runGroup(t, 2, func(g *group) {
+		g.registry.update(func(s *registry.State) { s.Table = table(5) })
+		time.Sleep(1200 * time.Millisecond)
+		own := g.state(0)
+		g.Assert(configVersion(own), qt.Equals, uint64(5))
+		old := own
+		old.Table = table(4)
+		next := old
+		next.Leaves = append(slices.Clone(own.Leaves), testLeaf("l9", 9))
+		next.Revision++
+		g.registry.update(func(s *registry.State) { s.Table = table(4) })
+		for _, n := range newNotices("b", old, next) {
+			g.net.nodes["a"] <- n
+		}
+		time.Sleep(3 * time.Second)
+		g.Assert(configVersion(g.state(0)), qt.Equals, uint64(5))
+	})
+}
+
+// Guards against a node that pays for linearizable reads while the registry refuses it.
+func TestRefusedNodeReadsSerializably(t *testing.T) {
+	runGroup(t, 3, func(g *group) {
+		refused := g.lastRank()
+		g.refused[refused].Store(true)
+		g.net.setIsolated(string(rune('a'+refused)), true)
+		time.Sleep(10 * time.Second)
+		g.Assert(g.refusedReads[refused].Load() <= 2, qt.IsTrue, qt.Commentf("%d linearizable reads", g.refusedReads[refused].Load()))
+	})
+}
+
 // Guards against a node that reads the registry itself because the notices of two readers arrive by turns, or because its
 // state already includes some of the changes.
 func TestNoticesOfTwoReaders(t *testing.T) {
 	runGroup(t, 3, func(g *group) {
 		reads := g.registry.readCount()
+		for g.registry.readCount() == reads { // the next regular read is one interval later
+			time.Sleep(tickInterval)
+		}
+		time.Sleep(tickInterval)
+		reads = g.registry.readCount()
 		own := g.state(0)
 		withLeaves := func(s registry.State, from, to int) registry.State {
 			for i := from; i < to; i++ {
--- a/internal/follow/notices.go
+++ b/internal/follow/notices.go
@@ -47,7 +47,7 @@
 	if n.More {
 		return // the last notice of the read shows whether this node is out of date
 	}
-	if !n.Partial && (n.ConfigVersion == configVersion(next) || f.fetchTable(ctx, &next, n.ConfigVersion)) && digest(next) == n.Digest {
+	if !n.Partial && f.completeTable(ctx, &next, n.ConfigVersion) && digest(next) == n.Digest {
 		f.confirm(now)
 		f.recordRestore(next, now, "notice of "+n.Sender)
 		f.setState(next, "notice of "+n.Sender)
@@ -59,7 +59,7 @@
 	if f.refused() && (f.requestView(ctx) && !f.isBefore(n) || f.fetchView(ctx, n.From)) {
 		return
 	}
-	f.confirm(time.Time{})
+	f.planCatchUp(n, now)
 }
 
 // noticeChain is the state after the notices of one read that have been received so far.
@@ -134,6 +134,12 @@
 	}
 }
 
+// completeTable gives the state the routing configuration of the wanted version, unless that is older than its own.
+func (f *Follower) completeTable(ctx context.Context, state *registry.State, wanted uint64) bool {
+	known := configVersion(*state)
+	return known == wanted || known < wanted && f.fetchTable(ctx, state, wanted)
+}
+
 // fetchTable reads the routing configuration of the wanted version into state. It tries a serializable read first, and
 // a linearizable one if the result is too old. It does not try while the registry refuses only this node.
 func (f *Follower) fetchTable(ctx context.Context, state *registry.State, wanted uint64) bool {
@@ -142,15 +148,15 @@
 	}
 	for _, consistency := range []registry.Consistency{registry.Serializable, registry.Linearizable} {
 		readCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		operator, err := f.registry.ReadOperatorState(readCtx, consistency)
+		operators, err := f.registry.ReadOperatorState(readCtx, consistency)
 		cancel()
 		f.lastTick = time.Now()
 		if err != nil {
 			f.log.Info("config_fetch", "error", err.Error(), "wanted", wanted)
 			return false
 		}
-		if operator.Table != nil && operator.Table.Version == wanted {
-			state.Table = operator.Table
+		if operators.Table != nil && operators.Table.Version == wanted {
+			state.Table = operators.Table
 			return true
 		}
 	}
--- a/internal/follow/read.go
+++ b/internal/follow/read.go
@@ -3,50 +3,112 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
+	"cyclamenstream/api/cluster"
 	"cyclamenstream/api/registry"
 )
 
-// read does a linearizable read of the registry. The node of the first rank always sends notices of the changes, other
-// nodes only if it is their turn to read on behalf of others. What a node reads because it lacks something is known to
-// the others already, or they get it from the node whose turn it is.
+// reading is what a read of the registry has returned.
+type reading struct {
+	registry.State
+	// newest is set if the state was the newest one when the read began.
+	newest bool
+	// view is the view of another node that was received instead. The other fields are then empty.
+	view *peerView
+}
+
+// read reads the registry. The node of the first rank always sends notices of the changes, other nodes only if it is their
+// turn to read on behalf of others. What a node reads because it lacks something is known to the others already, or they
+// get it from the node whose turn it is.
 func (f *Follower) read(ctx context.Context) {
 	readCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	began, inTurn := time.Now(), !f.confirmed.IsZero()
-	next, view, err := f.readOnce(readCtx)
+	began, inTurn := time.Now(), !f.behind
+	r, err := f.readOnce(readCtx)
 	f.lastTick = time.Now() // the wait for the answer does not count as a pause
 	switch {
-	case view != nil:
-		f.applyView(view.View, began, view.address)
+	case r.view != nil:
+		f.applyView(r.view.View, began, r.view.address)
 		return
 	case err != nil:
 		f.recordFailure(err)
 		return
 	}
-	if f.failing {
-		f.failing = false
-		f.log.Info("registry_regained")
-	}
-	if f.outage {
-		f.outage, f.outageEnd = false, time.Now()
+	f.recordSuccess(r.State)
+	if !r.newest {
+		f.installUnconfirmed(r.State, began)
+		return
 	}
 	if !f.confirmed.IsZero() {
 		f.age.RecordDuration(began.Sub(f.confirmed))
 	}
-	f.retryDelay, f.nextRead = 0, began.Add(minReadInterval)
-	f.skipped.Update(float64(next.Skipped))
+	f.nextRead, f.rereadUnlisted = began.Add(minReadInterval), false
 	old := f.state
-	if !f.install(next, began, "read") || !f.shouldNotify(inTurn) {
-		return
+	if f.install(r.State, began, "read") && f.shouldNotify(inTurn) {
+		f.notify(old)
 	}
+}
+
+// maxNoticeBytes bounds the bytes of the notices of one read to all nodes. Above it, links drop many of them.
+const maxNoticeBytes = 1 << 20
+
+// notify sends notices of how the state differs from old. If these would be too many, it sends one without the changes, and
+// the other nodes read the registry.
+func (f *Follower) notify(old registry.State) {
 	addresses := f.peerAddresses()
-	for _, n := range newNotices(f.config.Self, old, f.state) {
+	notices := newNotices(f.config.Self, old, f.state)
+	if most := maxNoticeBytes / (max(1, len(addresses)) * noticeBytes); len(notices) > max(1, most) {
+		notices = []cluster.Notice{summary(f.config.Self, old, f.state)}
+	}
+	for _, n := range notices {
 		f.peers.SendNotice(addresses, n)
 	}
 }
 
+// recordSuccess records that the registry has answered a read.
+func (f *Follower) recordSuccess(read registry.State) {
+	if f.failing {
+		f.failing = false
+		f.log.Info("registry_regained")
+	}
+	if f.outage {
+		f.outage, f.outageEnd = false, time.Now()
+	}
+	f.retryDelay = 0
+	f.skipped.Update(float64(read.Skipped))
+}
+
+// installUnconfirmed installs the result of a serializable read. Until this node's turn to read the registry has come, a
+// notice may show that it is the newest one.
+func (f *Follower) installUnconfirmed(next registry.State, began time.Time) {
+	f.install(next, f.confirmed, "serializable read")
+	switch {
+	case !f.Serving():
+		f.nextRead = began.Add(firstPollInterval)
+	case !f.listed() && !f.rereadUnlisted:
+		// When many nodes start at once, none of them knows its rank before their entries are published.
+		f.rereadUnlisted = true
+		f.nextRead = began.Add(time.Duration(unlistedWait * (1 + rand.Float64()) * float64(f.config.Interval)))
+	default:
+		f.rereadUnlisted = false
+		f.nextRead = began.Add(f.maxAge() - f.config.Interval)
+	}
+	if !f.rereadAt.IsZero() && f.rereadAt.Before(f.nextRead) {
+		f.nextRead = f.rereadAt
+	}
+}
+
+// unlistedWait is the share of the read interval for which a node that the registry does not list waits at least before it
+// reads again.
+const unlistedWait = 0.25
+
+// listed reports whether the state lists this node.
+func (f *Follower) listed() bool {
+	return slices.ContainsFunc(f.state.Members, func(m registry.Member) bool { return m.ID == f.config.Self })
+}
+
 // shouldNotify reports whether this node sends notices of what it has read. The first rank always does, the next ranks
 // do if it was their turn. Late ranks have little capacity, and sending to hundreds of nodes would keep them from
 // receiving notices themselves.
@@ -65,45 +127,23 @@
 	f.recordRestore(next, now, source)
 	next = f.reconcile(old, keepNewest(old, next), now)
 	f.confirm(confirmed)
+	f.behind = false
 	f.setState(next, source)
 	return true
 }
 
-// readOnce reads the registry. A node without a state starts further reads while the first one waits, since a
-// connection opened during an outage may get no answer even after the outage. Meanwhile it also requests the views of
-// nodes that have requested its own. If one of them answers first, readOnce returns its view instead of a state.
-func (f *Follower) readOnce(ctx context.Context) (state registry.State, view *peerView, err error) {
-	if f.hasState {
-		state, err = f.registry.Read(ctx)
-		return state, nil, err
-	}
-	type result struct {
-		state registry.State
-		err   error
-	}
-	results := make(chan result, int(callTimeout/firstReadInterval)+1)
-	views := make(chan peerView)
-	ticker := time.NewTicker(firstReadInterval)
-	defer ticker.Stop()
-	read := func() {
-		s, err := f.registry.Read(ctx)
-		results <- result{s, err}
+// readOnce reads the registry. A node that can serve does a serializable read, which costs less, while the registry does not
+// answer and until it lists the node.
+func (f *Follower) readOnce(ctx context.Context) (reading, error) {
+	if !f.Serving() {
+		return f.readFirst(ctx)
 	}
-	go read()
-	for {
-		select {
-		case r := <-results:
-			return r.state, nil, r.err
-		case v := <-views:
-			return registry.State{}, &v, nil
-		case address := <-f.viewHints:
-			go f.fetchViewAsync(ctx, address, views)
-		case <-ticker.C:
-			go read()
-		case <-ctx.Done():
-			return registry.State{}, nil, ctx.Err()
-		}
+	consistency := registry.Linearizable
+	if f.failing || f.rereadUnlisted {
+		consistency = registry.Serializable
 	}
+	state, err := f.registry.Read(ctx, consistency)
+	return reading{State: state, newest: consistency == registry.Linearizable}, err
 }
 
 func (f *Follower) recordFailure(err error) {
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -121,8 +121,18 @@
 
 func sameMember(a, b registry.Member) bool { return a == b }
 
-// maxChanges bounds the changes in one notice. A leaf or node takes about 100 bytes of a datagram.
-const maxChanges = 10
+const (
+	// maxChanges bounds the changes in one notice. A leaf or node takes about 100 bytes of a datagram.
+	maxChanges = 10
+	// noticeBytes is the usual size of a notice with that many changes.
+	noticeBytes = 1200
+)
+
+// summary returns a notice of the state next without the changes that lead to it from old.
+func summary(sender string, old, next registry.State) cluster.Notice {
+	return cluster.Notice{Sender: sender, Epoch: next.Epoch, Revision: next.Revision, Digest: digest(next), Base: digest(old),
+		ConfigVersion: configVersion(next), Partial: true}
+}
 
 // newNotices returns the notices whose changes lead from old to next.
 func newNotices(sender string, old, next registry.State) []cluster.Notice {
--- a/internal/follow/views_test.go
+++ b/internal/follow/views_test.go
@@ -112,7 +112,12 @@
 // unresponsiveRegistry never answers reads.
 type unresponsiveRegistry struct{ registry.Registry }
 
-func (unresponsiveRegistry) Read(ctx context.Context) (registry.State, error) {
+func (unresponsiveRegistry) ReadOperatorState(ctx context.Context, _ registry.Consistency) (registry.State, error) {
+	<-ctx.Done()
+	return registry.State{}, ctx.Err()
+}
+
+func (unresponsiveRegistry) Read(ctx context.Context, _ registry.Consistency) (registry.State, error) {
 	<-ctx.Done()
 	return registry.State{}, ctx.Err()
 }
