Write the lines of the log in batches

A node that learns of hundreds of entries at once wrote a line for each with a system call of its own, up to the limit of 400. Lines that are queued are written together, up to 16 KiB. TestLinesAreWrittenInBatches: 400 writes for 400 lines before, at most 20 now.

--- a/internal/decision/log.go
+++ b/internal/decision/log.go
@@ -76,8 +76,7 @@
 	select {
 	case s.queue <- append([]byte(nil), line...):
 	default:
-		s.unreported.Add(1)
-		s.dropped.Add(1)
+		(*Log)(s).countDropped()
 	}
 	return len(line), nil
 }
@@ -87,16 +86,14 @@
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
 	budget := linesPerSecond
+	var batch []byte
 	for {
 		select {
 		case line := <-l.queue:
-			if budget--; budget < 0 {
-				l.unreported.Add(1)
-				l.dropped.Add(1)
-				continue
+			if batch = l.collect(append(batch[:0], line...), &budget); len(batch) > 0 {
+				// There is no other output to report a failed write to.
+				_, _ = w.Write(batch)
 			}
-			// There is no other output to report a failed write to.
-			_, _ = w.Write(line)
 		case <-ticker.C:
 			budget = linesPerSecond
 			if n := l.unreported.Swap(0); n > 0 {
@@ -109,6 +106,36 @@
 	}
 }
 
+// maxBatchBytes is the size from which lines are written. Each write costs a system call.
+const maxBatchBytes = 16 << 10
+
+// collect appends the lines that are queued to a batch. It drops lines beyond the budget, which includes the line that the
+// batch begins with.
+func (l *Log) collect(batch []byte, budget *int) []byte {
+	if *budget--; *budget < 0 {
+		l.countDropped()
+		batch = batch[:0]
+	}
+	for len(batch) < maxBatchBytes {
+		select {
+		case line := <-l.queue:
+			if *budget--; *budget < 0 {
+				l.countDropped()
+				continue
+			}
+			batch = append(batch, line...)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+func (l *Log) countDropped() {
+	l.unreported.Add(1)
+	l.dropped.Add(1)
+}
+
 func (l *Log) drain(w io.Writer) {
 	for {
 		select {
--- a/internal/decision/log_test.go
+++ b/internal/decision/log_test.go
@@ -41,11 +41,16 @@
 type recorder struct {
 	mu sync.Mutex
 	bytes.Buffer
+	writes int
+	// delay is how long each write takes.
+	delay time.Duration
 }
 
 func (r *recorder) Write(p []byte) (int, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.writes++
+	time.Sleep(r.delay)
 	return r.Buffer.Write(p)
 }
 
@@ -110,3 +115,29 @@
 		c.Assert(out.String(), qt.Not(qt.Contains), "smooth")
 	})
 }
+
+// Guards against a system call for each line when many are written at once, and against lines that are lost or mixed up.
+func TestLinesAreWrittenInBatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		out := &recorder{delay: time.Millisecond}
+		l := New(out, "n1", "z1")
+		for i := range linesPerSecond {
+			l.Info("leaf", "number", i)
+		}
+		time.Sleep(500 * time.Millisecond)
+		synctest.Wait()
+		out.mu.Lock()
+		writes := out.writes
+		out.mu.Unlock()
+		c.Check(writes <= 20, qt.IsTrue, qt.Commentf("%d writes", writes))
+		all := out.all()
+		c.Assert(all, qt.HasLen, linesPerSecond)
+		for i, line := range all {
+			var decoded struct{ Number int }
+			c.Assert(json.Unmarshal([]byte(line), &decoded), qt.IsNil)
+			c.Assert(decoded.Number, qt.Equals, i)
+		}
+		l.Close(time.Second)
+	})
+}
