Answer requests that reach no leaf in time with "not run"

A request whose time passed while its sends waited for a connection was answered 502 or 504, "may have run", and a caller whose request is not idempotent could not send it again. The sends are cancelled at that moment and end without having sent anything: the answer now waits up to 10 ms for them and says "not run" if that is so. An answer that arrives at that moment is delivered. For gathered requests the verdict covers all services that give up together. TestVerdictOfRequestsThatReachNoLeaf fails without the change.

--- a/internal/gather/fetch.go
+++ b/internal/gather/fetch.go
@@ -98,19 +98,39 @@
 				hedge.Reset(minHedgeDelay)
 			}
 		case <-f.activeRequest.sendCtx.Done():
-			return fetchResult{err: f.cancelErr(ctx)}
+			return f.giveUp(ctx)
 		case <-ctx.Done():
-			return fetchResult{err: f.cancelErr(ctx)}
+			return fetchResult{err: f.callerLeftErr()}
 		}
 	}
 }
 
-// cancelErr returns the error of a request that is given up while a leaf may still be working on it.
-func (f *fetch) cancelErr(ctx context.Context) error {
-	if ctx.Err() != nil {
-		return f.callerLeftErr()
+// cancelWait is how long a request that is given up waits for the ends of its sends, which are cancelled.
+const cancelWait = 10 * time.Millisecond
+
+// giveUp returns the result of a request whose time has passed. Sends that still wait for a connection end without having
+// sent anything, so the request may turn out not to have run.
+func (f *fetch) giveUp(ctx context.Context) fetchResult {
+	timer := time.NewTimer(cancelWait)
+	defer timer.Stop()
+	for f.inFlight > 0 && ctx.Err() == nil {
+		select {
+		case s := <-f.results:
+			f.recordResult(s)
+			if s.err == nil && s.reply.Success() {
+				return fetchResult{reply: s.reply}
+			}
+		case <-timer.C:
+			f.inFlight = 0
+		}
+	}
+	switch {
+	case ctx.Err() != nil:
+		return fetchResult{err: f.callerLeftErr()}
+	case f.mayHaveRun == 0 && f.failureReply == nil:
+		return fetchResult{err: verdict.Refusef(verdict.CodeDeadline, "service %q could not be reached in time", f.service)}
 	}
-	return verdict.WithVerdict(verdict.MayHaveRun(), verdict.CodeDeadline, "service %q did not answer in time", f.service)
+	return fetchResult{err: verdict.WithVerdict(verdict.MayHaveRun(), verdict.CodeDeadline, "service %q did not answer in time", f.service)}
 }
 
 // sendFirst sends to the best leaf. It waits for a while if all leaves are full, or if the free ones have just failed.
@@ -284,8 +304,8 @@
 	return direct.Failed
 }
 
-// handleResult processes the result of a send. It reports whether the fetch is finished.
-func (f *fetch) handleResult(s sendResult) (bool, fetchResult) {
+// recordResult records the result of a send.
+func (f *fetch) recordResult(s sendResult) {
 	f.inFlight--
 	if s.attempt.Verdict().IsNotRun() {
 		f.mayHaveRun--
@@ -293,18 +313,24 @@
 	leaf := s.ticket.Leaf()
 	f.trace.Add(decision.Step{Event: "reply", Service: f.service, Leaf: leaf.ID, Boot: leaf.Boot, Outcome: f.describe(s),
 		Routine: s.kind == direct.Answered && len(f.route.Gather) > 0})
-	if s.err == nil && s.reply.Success() {
-		return true, fetchResult{reply: s.reply}
-	}
-	if s.err == nil {
-		f.failureReply = s.reply
-	} else {
+	switch {
+	case s.err != nil:
 		f.lastErr = s.err
+	case !s.reply.Success():
+		f.failureReply = s.reply
 	}
 	if s.kind == direct.Stale {
 		// The leaf may be tried again over a new connection.
 		f.tried = slices.DeleteFunc(f.tried, func(id string) bool { return id == leaf.ID })
 	}
+}
+
+// handleResult processes the result of a send. It reports whether the fetch is finished.
+func (f *fetch) handleResult(s sendResult) (bool, fetchResult) {
+	f.recordResult(s)
+	if s.err == nil && s.reply.Success() {
+		return true, fetchResult{reply: s.reply}
+	}
 	if f.sends < maxSends && f.sendAgain("retry") == nil {
 		return false, fetchResult{}
 	}
--- a/internal/gather/gather.go
+++ b/internal/gather/gather.go
@@ -253,6 +253,9 @@
 		r.trace.Add(decision.Step{Event: "left_out", Service: s, Outcome: m.failureReason(s)})
 	}
 	if !m.enough() {
+		if r.sendCtx.Err() != nil {
+			m.addRest(parts)
+		}
 		return r.dispatcher.errorAnswer(m.tooFewErr(r.route.Name))
 	}
 	gathered := m.merge(r.route.Top)
--- a/internal/gather/gather_test.go
+++ b/internal/gather/gather_test.go
@@ -37,6 +37,8 @@
 	body    string
 	// limit is the rate limit that the leaf states, in requests/s, if it is not 0.
 	limit float64
+	// unreachable leaves accept no connection until the request is given up.
+	unreachable bool
 }
 
 // fakeLeaves is a Sender without a network.
@@ -67,6 +69,10 @@
 	f.mu.Lock()
 	f.budgets = append(f.budgets, out.Budget)
 	f.mu.Unlock()
+	if b.unreachable {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	out.Attempt.Begin()
 	select {
 	case <-time.After(b.delay):
@@ -246,6 +252,32 @@
 	})
 }
 
+// Guards against telling a caller that its request may have run, and that it must not repeat it, when no leaf was reached
+// in time, and against the opposite.
+func TestVerdictOfRequestsThatReachNoLeaf(t *testing.T) {
+	unreachable, stuck := []behaviour{{unreachable: true}}, []behaviour{{delay: time.Hour}}
+	all := func(b []behaviour) map[string][]behaviour {
+		behaviours := map[string][]behaviour{}
+		for _, s := range services {
+			behaviours[s+"a"], behaviours[s+"b"] = unreachable, b
+		}
+		return behaviours
+	}
+	for _, path := range []string{"/all/", "/one/", "/once/"} {
+		simulate(t, all(unreachable), func(c *harness) {
+			a, took := c.ask(path)
+			c.Check(verdict.Of(a.Err).IsNotRun(), qt.IsTrue, qt.Commentf("%s: %v", path, a.Err))
+			c.Check(took <= time.Second, qt.IsTrue, qt.Commentf("%s took %v", path, took))
+		})
+	}
+	for _, path := range []string{"/all/", "/one/"} { // the second send reaches a leaf
+		simulate(t, all(stuck), func(c *harness) {
+			a, _ := c.ask(path)
+			c.Check(verdict.Of(a.Err), qt.Equals, verdict.MayHaveRun(), qt.Commentf("%s: %v", path, a.Err))
+		})
+	}
+}
+
 // Guards against a non-idempotent request that is sent to a second leaf after the first one may have run it.
 func TestNonIdempotentRunsOnce(t *testing.T) {
 	cases := []struct {
--- a/internal/gather/merge.go
+++ b/internal/gather/merge.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"math"
 	"slices"
+	"time"
 
 	"cyclamenstream/api/exchange"
 	"cyclamenstream/api/verdict"
@@ -36,6 +37,20 @@
 	m.failed++
 }
 
+// addRest adds the results of services that give up at the same time, so that the verdict covers them.
+func (m *merger) addRest(parts <-chan part) {
+	timer := time.NewTimer(cancelWait + cancelWait/2)
+	defer timer.Stop()
+	for len(m.replies)+m.failed < m.total {
+		select {
+		case p := <-parts:
+			m.add(p)
+		case <-timer.C:
+			return
+		}
+	}
+}
+
 // needed returns the number of answers that make a success, at least one. The tolerance keeps a share such as 0.9 of 10
 // from being rounded up to 10 by floating point.
 func (m *merger) needed() int {
