Let requests wait for the first configuration while a node starts

Callers whose requests failed at a node that went down send them once more, often to a node that has just started and reads its configuration; they were refused at once and failed for good.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -116,9 +116,20 @@
 func newBudget(s Settings) *budget.Budget { return budget.New(initialTokens, s.RetrySlack*retryFactor) }
 
 // activeRouting is the routing configuration in force on this node.
-type activeRouting struct{ index atomic.Pointer[routing.Index] }
+type activeRouting struct {
+	index atomic.Pointer[routing.Index]
+	// configured is closed with the first configuration.
+	configured chan struct{}
+}
+
+func newActiveRouting() *activeRouting { return &activeRouting{configured: make(chan struct{})} }
 
-func newActiveRouting() *activeRouting { return &activeRouting{} }
+// set puts a configuration into force. It must not be called concurrently.
+func (a *activeRouting) set(x *routing.Index) {
+	if a.index.Swap(x) == nil {
+		close(a.configured)
+	}
+}
 
 // knownPeers holds the addresses of the other nodes.
 type knownPeers struct{ atomic.Pointer[[]string] }
@@ -140,7 +151,7 @@
 	return gather.New(gather.Deps{
 		Config: gather.Config{AnswerMargin: s.AnswerMargin.Duration, OpenMargin: s.OpenMargin.Duration, RetryShare: s.RetryShare * retryFactor,
 			RetryAfterNoConfig: retryAfterNoConfig, RetryAfterBusy: retryAfterBusy, SampleEvery: sampleEvery},
-		Pool: pool, Sender: sender, Index: active.index.Load, RetryBudget: retryBudget, Crashes: detector, Log: log, Scope: scope,
+		Pool: pool, Sender: sender, Index: active.index.Load, Configured: active.configured, RetryBudget: retryBudget, Crashes: detector, Log: log, Scope: scope,
 	})
 }
 
@@ -238,7 +249,7 @@
 	gone := p.Pool.Update(direct.View{Leaves: state.Leaves, Services: state.Table.Services, EvacuatedZones: state.Evacuated,
 		Advertised: advertised, Nodes: len(state.Members)})
 	if old := p.Active.index.Load(); old == nil || old.Table() != state.Table {
-		p.Active.index.Store(routing.NewIndex(state.Table))
+		p.Active.set(routing.NewIndex(state.Table))
 	}
 	for _, l := range gone {
 		p.Sender.Forget(l)
--- a/internal/gather/gather.go
+++ b/internal/gather/gather.go
@@ -41,6 +41,9 @@
 	Sender exchange.Sender
 	// Index returns the routing configuration in force, or nil while none is known.
 	Index func() *routing.Index
+	// Configured is closed once Index returns a configuration. Requests wait for it while the process starts, unless it is
+	// nil.
+	Configured <-chan struct{}
 	// RetryBudget limits retries and hedges.
 	RetryBudget *budget.Budget
 	// Crashes refuses requests that crash leaves.
@@ -55,6 +58,7 @@
 	counters counters
 	served   atomic.Uint64
 	lag      lag
+	start    startGate
 	// waitCtx is cancelled once requests must no longer wait for leaves.
 	waitCtx    context.Context
 	cancelWait context.CancelFunc
@@ -63,7 +67,7 @@
 // New returns a dispatcher.
 func New(deps Deps) *Dispatcher {
 	waitCtx, cancel := context.WithCancel(context.Background())
-	return &Dispatcher{Deps: deps, counters: newCounters(deps.Scope), waitCtx: waitCtx, cancelWait: cancel}
+	return &Dispatcher{Deps: deps, counters: newCounters(deps.Scope), start: startGate{started: time.Now()}, waitCtx: waitCtx, cancelWait: cancel}
 }
 
 // CancelPending ends the wait of all requests for leaves, so that they are answered before the process ends.
@@ -78,7 +82,7 @@
 
 // Serve implements exchange.Server.
 func (d *Dispatcher) Serve(ctx context.Context, r *exchange.Request) exchange.Answer {
-	index := d.Index()
+	index := d.start.await(ctx, r, d.Deps)
 	if index == nil {
 		err := verdict.Refusef(verdict.CodeNoConfig, "no routing configuration is known yet")
 		return d.finish(nil, r, decision.NewTrace(r.ID, r.Received), d.errorAnswer(err))
