Open connections ahead in batches

A node that starts, or to which callers are sent again, opened a connection to each of hundreds of leaves at once, which takes a tenth of a second of its processor while requests arrive. TestConnectionsAreOpenedInBatches fails without the change.

--- a/api/exchange/exchange.go
+++ b/api/exchange/exchange.go
@@ -90,8 +90,9 @@
 	// Send sends the request once and returns the leaf's complete answer, whatever its status, or an error. When ctx
 	// ends, the connection is closed. ErrRefused and ErrReplaced come with the leaf's reply.
 	Send(ctx context.Context, leaf registry.Leaf, out Outgoing) (*Reply, error)
-	// Preconnect opens a connection to the leaf in the background for the next Send, unless there is one.
-	Preconnect(leaf registry.Leaf, connections int)
+	// Preconnect opens a connection to the leaf in the background for the next Send, unless there is one. It reports whether
+	// it opens one.
+	Preconnect(leaf registry.Leaf, connections int) bool
 	// Forget closes the idle connections to a leaf that is no longer in the registry.
 	Forget(leaf registry.Leaf)
 	// CloseIdle closes the idle connections that cannot be used any more, or all idle connections.
--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -187,15 +187,17 @@
 	}()
 }
 
-// Prepare opens a connection in the background, unless one is open.
-func (p *Pool) Prepare() {
+// Prepare opens a connection in the background, unless one is open. It reports whether it opens one.
+func (p *Pool) Prepare() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sweep(time.Now())
-	if p.open == 0 && !p.closed {
-		// If the server cannot be reached, the next call of Get reports the error.
-		p.startDial(&pendingDial{done: make(chan struct{})})
+	if p.open > 0 || p.closed {
+		return false
 	}
+	// If the server cannot be reached, the next call of Get reports the error.
+	p.startDial(&pendingDial{done: make(chan struct{})})
+	return true
 }
 
 // Sweep closes the idle connections that cannot be reused.
--- a/internal/connpool/connpool_test.go
+++ b/internal/connpool/connpool_test.go
@@ -194,8 +194,9 @@
 // connections that stay open after the pool was closed.
 func TestPrepare(t *testing.T) {
 	test(t, 2, func(c *qt.C, s *server, p *Pool) {
-		for range 3 {
-			p.Prepare()
+		c.Check(p.Prepare(), qt.IsTrue)
+		for range 2 {
+			c.Check(p.Prepare(), qt.IsFalse)
 		}
 		time.Sleep(2 * dialTime)
 		p.Prepare()
--- a/internal/gather/gather_test.go
+++ b/internal/gather/gather_test.go
@@ -95,9 +95,9 @@
 	return &exchange.Reply{Status: status, Signature: "d-" + l.ID, Body: []byte(b.body), Header: http.Header{}, RateLimit: &limit}, nil
 }
 
-func (f *fakeLeaves) Preconnect(registry.Leaf, int) {}
-func (f *fakeLeaves) Forget(registry.Leaf)          {}
-func (f *fakeLeaves) CloseIdle(bool)                {}
+func (f *fakeLeaves) Preconnect(registry.Leaf, int) bool { return false }
+func (f *fakeLeaves) Forget(registry.Leaf)               {}
+func (f *fakeLeaves) CloseIdle(bool)                     {}
 
 // leafBudgets returns the time that each send gave the leaf.
 func (f *fakeLeaves) leafBudgets() []time.Duration {
--- a/internal/prepare/prepare.go
+++ b/internal/prepare/prepare.go
@@ -16,6 +16,10 @@
 	// maxTargets bounds the number of leaves with preopened connections, so that a node does not run out of file
 	// descriptors.
 	maxTargets = 1000
+	// A node that opens many connections at once, such as after its start, opens batchSize every batchInterval, so that
+	// requests get their share of the processor meanwhile.
+	batchSize     = 25
+	batchInterval = 10 * time.Millisecond
 )
 
 // Preconnector opens connections to leaves ahead of requests.
@@ -55,14 +59,25 @@
 		receivesCallers := p.receivesCallers()
 		p.sender.CloseIdle(!receivesCallers)
 		if receivesCallers {
-			p.preconnect()
+			p.preconnect(ctx)
 		}
 	}
 }
 
-func (p *Preconnector) preconnect() {
+func (p *Preconnector) preconnect(ctx context.Context) {
 	targets := p.pool.Targets()
+	opened := 0
 	for _, t := range targets[:min(len(targets), maxTargets)] {
-		p.sender.Preconnect(t.Leaf, t.Connections)
+		if !p.sender.Preconnect(t.Leaf, t.Connections) {
+			continue
+		}
+		if opened++; opened%batchSize != 0 {
+			continue
+		}
+		select {
+		case <-time.After(batchInterval):
+		case <-ctx.Done():
+			return
+		}
 	}
 }
--- a/internal/prepare/prepare_test.go
+++ b/internal/prepare/prepare_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -22,12 +23,13 @@
 	closed atomic.Int64
 }
 
-func (s *sender) Preconnect(l registry.Leaf, _ int) {
+func (s *sender) Preconnect(l registry.Leaf, _ int) bool {
 	if l.Zone == "z1" {
 		s.near.Add(1)
 	} else {
 		s.far.Add(1)
 	}
+	return true
 }
 
 func (s *sender) CloseIdle(all bool) {
@@ -67,3 +69,31 @@
 		c.Assert(s.closed.Load(), qt.Equals, closed)
 	})
 }
+
+// Guards against a node that opens hundreds of connections at once while requests wait for its processor, and against one
+// that leaves some leaves without a connection.
+func TestConnectionsAreOpenedInBatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const leaves = 10 * batchSize
+		c := qt.New(t)
+		pool := direct.New(direct.Config{Self: "n1", Zone: "z1", Region: "r1", Now: time.Now})
+		view := direct.View{Advertised: []string{"n1"}}
+		for i := range leaves {
+			view.Leaves = append(view.Leaves, registry.Leaf{ID: fmt.Sprint(i), Service: "s", Zone: "z1"})
+		}
+		pool.Update(view)
+		var s sender
+		p := New(pool, &s, func() bool { return true })
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go p.Run(ctx)
+		p.Changed()
+		for opened := int64(0); opened < leaves; {
+			synctest.Wait()
+			c.Assert(s.near.Load()-opened <= batchSize, qt.IsTrue)
+			opened = s.near.Load()
+			time.Sleep(batchInterval)
+		}
+		c.Check(s.near.Load(), qt.Equals, int64(leaves))
+	})
+}
