Log many entries in one line

A node that starts logged a line for each of a thousand entries, and the limit of the log dropped most of them, requests of that second included. More than 50 entries at once are 50 to a line; cyclamenstream logs shows them one by one, so that a leaf can still be found.

--- a/internal/follow/changes.go
+++ b/internal/follow/changes.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"maps"
 	"slices"
 
 	"cyclamenstream/api/registry"
@@ -16,20 +17,53 @@
 		f.log.Info("evacuation", "zones", next.Evacuated, "revision", next.Revision, "source", source)
 	}
 	leaves, gone := diff(old.Leaves, next.Leaves, leafID, sameLeaf)
-	for _, l := range leaves {
-		f.log.Info("leaf", "leaf", l.ID, "boot", l.Boot, "service", l.Service, "address", l.Address, "leaf_zone", l.Zone,
-			"draining", l.Draining, "warmup_ms", decision.Millis(l.WarmupLeft), "revision", next.Revision, "source", source)
-	}
-	for _, id := range gone {
-		f.log.Info("leaf_gone", "leaf", id, "revision", next.Revision, "source", source)
-	}
+	logEntries(f.log, "leaf", mapSlice(leaves, leafAttributes), next, source)
+	logEntries(f.log, "leaf_gone", mapSlice(gone, func(id string) attributes { return attributes{"leaf": id} }), next, source)
 	members, gone := diff(old.Members, next.Members, memberID, sameMember)
-	for _, m := range members {
-		f.log.Info("member", "member", m.ID, "boot", m.Boot, "member_zone", m.Zone, "revision", next.Revision, "source", source)
+	logEntries(f.log, "member", mapSlice(members, memberAttributes), next, source)
+	logEntries(f.log, "member_gone", mapSlice(gone, func(id string) attributes { return attributes{"member": id} }), next, source)
+}
+
+// attributes are the attributes of a log line about one entry.
+type attributes map[string]any
+
+func leafAttributes(l registry.Leaf) attributes {
+	return attributes{"leaf": l.ID, "boot": l.Boot, "service": l.Service, "address": l.Address, "leaf_zone": l.Zone,
+		"draining": l.Draining, "warmup_ms": decision.Millis(l.WarmupLeft)}
+}
+
+func memberAttributes(m registry.Member) attributes {
+	return attributes{"member": m.ID, "boot": m.Boot, "member_zone": m.Zone, "overloaded": m.Overloaded}
+}
+
+// entriesPerLine is the number of entries in one line when many change at once. Each line of its own would use up the volume
+// of the log.
+const entriesPerLine = 50
+
+// logEntries logs one line for each entry, or lines with several entries if there are many.
+func logEntries(log *decision.Log, msg string, entries []attributes, next registry.State, source string) {
+	shared := []any{"revision", next.Revision, "source", source}
+	if len(entries) > entriesPerLine {
+		for chunk := range slices.Chunk(entries, entriesPerLine) {
+			log.Info(msg, append(shared, "entries", chunk)...)
+		}
+		return
 	}
-	for _, id := range gone {
-		f.log.Info("member_gone", "member", id, "revision", next.Revision, "source", source)
+	for _, entry := range entries {
+		line := slices.Clone(shared)
+		for _, name := range slices.Sorted(maps.Keys(entry)) {
+			line = append(line, name, entry[name])
+		}
+		log.Info(msg, line...)
+	}
+}
+
+func mapSlice[E, R any](list []E, f func(E) R) []R {
+	mapped := make([]R, len(list))
+	for i, e := range list {
+		mapped[i] = f(e)
 	}
+	return mapped
 }
 
 // sameLeaf reports whether two entries are equal apart from the remaining warm-up and the revision, which change with
--- /dev/null
+++ b/internal/follow/changes_test.go
@@ -0,0 +1,45 @@
+package follow
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cyclamenstream/api/registry"
+	"cyclamenstream/internal/decision"
+	"cyclamenstream/internal/timeline"
+)
+
+// Guards against entries that are missing from the log because the node learned of many at once, such as at its start.
+func TestManyChangesAreLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const leaves, members = 1000, 300
+		c := qt.New(t)
+		var out bytes.Buffer
+		f := &Follower{log: decision.New(&out, "n", "z")}
+		var next registry.State
+		for i := range leaves {
+			next.Leaves = append(next.Leaves, testLeaf(fmt.Sprintf("l%d", i), 1))
+		}
+		for i := range members {
+			next.Members = append(next.Members, registry.Member{ID: fmt.Sprintf("n%d", i)})
+		}
+		f.logChanges(registry.State{}, next, "read")
+		f.logChanges(next, registry.State{Leaves: next.Leaves[:leaves-3]}, "read")
+		time.Sleep(time.Second)
+		f.log.Close(time.Second)
+		c.Check(strings.Count(out.String(), "\n") < 100, qt.IsTrue, qt.Commentf("%d lines", strings.Count(out.String(), "\n")))
+		events, skipped, err := timeline.ReadLog(&out)
+		c.Assert(err, qt.IsNil)
+		c.Assert(skipped, qt.Equals, 0)
+		c.Assert(events, qt.HasLen, leaves+members+3+members)
+		found := timeline.Filter{VM: "l999"}.Apply(events)
+		c.Assert(found, qt.HasLen, 2)
+		c.Assert(string(found[1].Kind), qt.Equals, "leaf_gone")
+	})
+}
--- a/internal/timeline/logs.go
+++ b/internal/timeline/logs.go
@@ -27,27 +27,49 @@
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(nil, maxLogLine)
 	for scanner.Scan() {
-		e, ok := parseLogLine(scanner.Bytes())
-		if !ok {
+		parsed := parseLogLine(scanner.Bytes())
+		if len(parsed) == 0 {
 			skipped++
-			continue
 		}
-		events = append(events, e)
+		events = append(events, parsed...)
 	}
 	return events, skipped, scanner.Err()
 }
 
-func parseLogLine(line []byte) (event.Event, bool) {
+// entriesAttribute is the attribute of a line about several entries. It lists the attributes of each of them.
+const entriesAttribute = "entries"
+
+// parseLogLine returns the events of a line: one, or one for each entry. It returns none if the line is not a log entry.
+func parseLogLine(line []byte) []event.Event {
 	start := bytes.IndexByte(line, '{')
 	if start < 0 {
-		return event.Event{}, false
+		return nil
 	}
 	decoder := json.NewDecoder(bytes.NewReader(line[start:]))
 	decoder.UseNumber()
 	var attributes map[string]any
 	if err := decoder.Decode(&attributes); err != nil {
-		return event.Event{}, false
+		return nil
+	}
+	entries, several := attributes[entriesAttribute].([]any)
+	if !several {
+		entries = []any{map[string]any{}}
 	}
+	delete(attributes, entriesAttribute)
+	var events []event.Event
+	for _, entry := range entries {
+		own, _ := entry.(map[string]any)
+		all := maps.Clone(attributes)
+		maps.Copy(all, own)
+		if e, ok := newEvent(all); ok {
+			events = append(events, e)
+		}
+	}
+	return events
+}
+
+// newEvent returns the event with the attributes of a log line.
+func newEvent(attributes map[string]any) (event.Event, bool) {
 	attribute := func(name string) string {
 		s, _ := attributes[name].(string)
 		return s
--- a/internal/timeline/logs_test.go
+++ b/internal/timeline/logs_test.go
@@ -36,3 +36,17 @@
 	c.Assert(request[0].Detail, qt.Equals, "after_ms=0.4 boot=17 expected_ms=60.9")
 	c.Assert(request[0].Service, qt.Equals, "s")
 }
+
+// Guards against entries that cannot be found because a line is about many of them.
+func TestLinesAboutManyEntries(t *testing.T) {
+	c := qt.New(t)
+	events, skipped, err := ReadLog(strings.NewReader(`{"time":"2026-06-15T01:34:27Z","level":"INFO","msg":"leaf","node":"n1","zone":"z1","revision":7,"entries":[{"leaf":"l1","service":"s"},{"leaf":"l2","service":"t","draining":true}]}
+{"time":"2026-06-15T01:34:28Z","msg":"leaf","node":"n1","entries":[]}`))
+	c.Assert(err, qt.IsNil)
+	c.Assert(skipped, qt.Equals, 1)
+	c.Assert(events, qt.HasLen, 2)
+	found := Filter{VM: "l2"}.Apply(events)
+	c.Assert(found, qt.HasLen, 1)
+	c.Assert(found[0].Service, qt.Equals, "t")
+	c.Assert(found[0].Detail, qt.Equals, "draining=true revision=7")
+}
