Pace the notices of many changes and state their age

Changes of more than 30 entries were not sent to 294 nodes but read by each of them. While serializable reads are old, such as when the store compacts its history, each node then read linearizably: two calls a node and change. Up to 4 MB of notices a read are sent now, at 4 MB/s, which the links of small VMs bear; the notices of a later read replace them. A notice says how long ago the registry was read, so that a delayed one does not confirm a state as newer than it is.

--- a/api/cluster/notice.go
+++ b/api/cluster/notice.go
@@ -19,6 +19,8 @@
 	Digest, Base uint64
 	// More is set if further notices of the same read follow. The state after this notice is only an intermediate one.
 	More bool
+	// Age is the time since the beginning of the read.
+	Age time.Duration
 	// Partial is set if some changes are missing from the notice.
 	Partial bool
 	// ConfigVersion is the version of the routing configuration. The notice does not contain the configuration itself.
--- a/internal/follow/catchup.go
+++ b/internal/follow/catchup.go
@@ -17,26 +17,26 @@
 type catchUp struct {
 	// due is the time of the read, or zero if none is due.
 	due time.Time
-	// epoch and revision are those of the notice, which was received at noticed.
+	// epoch and revision are those of the notice, whose sender has read the registry at read.
 	epoch, revision uint64
-	noticed         time.Time
+	read            time.Time
 }
 
 // planCatchUp plans a read that brings the state up to that of a notice.
-func (f *Follower) planCatchUp(n cluster.Notice, now time.Time) {
+func (f *Follower) planCatchUp(n cluster.Notice, now, read time.Time) {
 	due := f.catchUp.due
 	if due.IsZero() {
 		due = now.Add(rand.N(catchUpSpread * time.Duration(1+len(f.state.Members))))
 	}
-	f.catchUp = catchUp{due, n.Epoch, n.Revision, now}
+	f.catchUp = catchUp{due, n.Epoch, n.Revision, read}
 }
 
 // runCatchUp does a serializable read, which costs a tenth of a linearizable one. If it returns at least the revision of the
-// notice, the state was the newest when the notice was received. Otherwise a linearizable read is due.
+// notice, the state is at least as new as what the sender of the notice has read. Otherwise a linearizable read is due.
 func (f *Follower) runCatchUp(ctx context.Context) {
 	wanted := f.catchUp
 	f.catchUp = catchUp{}
-	if f.confirmed.After(wanted.noticed) {
+	if f.confirmed.After(wanted.read) {
 		return // a later notice has led to the newest state
 	}
 	readCtx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -56,5 +56,5 @@
 		return
 	}
 	f.nextRead = began.Add(minReadInterval)
-	f.install(next, wanted.noticed, "read")
+	f.install(next, wanted.read, "read")
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -105,6 +105,8 @@
 	wantedVersion uint64
 	// lastSeen is when each node's entry was last present, by the address at which the node receives notices.
 	lastSeen map[string]time.Time
+	// cancelNotices ends the sending of the notices of the latest read.
+	cancelNotices context.CancelFunc
 	// chains holds the reads whose notices are being received, by their senders.
 	chains map[string]noticeChain
 	// viewHints receives addresses of nodes that have a state while this node has none.
@@ -115,7 +117,7 @@
 // New returns a follower that calls onChange from the goroutine of Run for each change of the state.
 func New(r registry.Registry, peers cluster.Peers, views cluster.Views, c Config, log *decision.Log, scope tally.Scope, onChange func(registry.State)) *Follower {
 	return &Follower{registry: r, peers: peers, views: views, config: c, log: log, skipped: scope.Gauge("registry_entries_skipped"),
-		lastSeen: map[string]time.Time{}, departed: map[entryKey]time.Time{}, chains: map[string]noticeChain{}, viewHints: make(chan string, 1),
+		lastSeen: map[string]time.Time{}, departed: map[entryKey]time.Time{}, chains: map[string]noticeChain{}, cancelNotices: func() {}, viewHints: make(chan string, 1),
 		age: scope.Histogram("view_age", tally.MustMakeExponentialDurationBuckets(250*time.Millisecond, 2, 6)), onChange: onChange}
 }
 
--- a/internal/follow/notices.go
+++ b/internal/follow/notices.go
@@ -35,12 +35,13 @@
 		return
 	}
 	now, currentDigest := time.Now(), digest(f.state)
+	read := now.Add(-n.Age) // when the sender read the registry
 	f.endOutage(now)
 	if n.Digest == currentDigest {
 		f.mu.Lock()
 		f.state.Revision = n.Revision
 		f.mu.Unlock()
-		f.confirmFromNotice(n, now)
+		f.confirmFromNotice(n, read)
 		return
 	}
 	next := f.applyInTurn(n)
@@ -48,7 +49,7 @@
 		return // the last notice of the read shows whether this node is out of date
 	}
 	if !n.Partial && f.completeTable(ctx, &next, n.ConfigVersion) && digest(next) == n.Digest {
-		f.confirm(now)
+		f.confirm(read)
 		f.recordRestore(next, now, "notice of "+n.Sender)
 		f.setState(next, "notice of "+n.Sender)
 		return
@@ -59,7 +60,7 @@
 	if f.refused() && (f.requestView(ctx) && !f.isBefore(n) || f.fetchView(ctx, n.From)) {
 		return
 	}
-	f.planCatchUp(n, now)
+	f.planCatchUp(n, now, read)
 }
 
 // noticeChain is the state after the notices of one read that have been received so far.
@@ -126,11 +127,11 @@
 	f.confirmed = at
 }
 
-// confirmFromNotice records that a notice has shown the state to be the newest, unless further notices of the same read
+// confirmFromNotice records that a notice has shown the state to be the newest one when its sender read it, unless further notices of the same read
 // follow.
-func (f *Follower) confirmFromNotice(n cluster.Notice, now time.Time) {
+func (f *Follower) confirmFromNotice(n cluster.Notice, read time.Time) {
 	if !n.More {
-		f.confirm(now)
+		f.confirm(later(f.confirmed, read))
 	}
 }
 
--- a/internal/follow/read.go
+++ b/internal/follow/read.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"cyclamenstream/api/cluster"
 	"cyclamenstream/api/registry"
 )
 
@@ -47,23 +46,7 @@
 	f.nextRead, f.rereadUnlisted = began.Add(minReadInterval), false
 	old := f.state
 	if f.install(r.State, began, "read") && f.shouldNotify(inTurn) {
-		f.notify(old)
-	}
-}
-
-// maxNoticeBytes bounds the bytes of the notices of one read to all nodes. Above it, links drop many of them.
-const maxNoticeBytes = 1 << 20
-
-// notify sends notices of how the state differs from old. If these would be too many, it sends one without the changes, and
-// the other nodes read the registry.
-func (f *Follower) notify(old registry.State) {
-	addresses := f.peerAddresses()
-	notices := newNotices(f.config.Self, old, f.state)
-	if most := maxNoticeBytes / (max(1, len(addresses)) * noticeBytes); len(notices) > max(1, most) {
-		notices = []cluster.Notice{summary(f.config.Self, old, f.state)}
-	}
-	for _, n := range notices {
-		f.peers.SendNotice(addresses, n)
+		f.notify(ctx, old, began)
 	}
 }
 
--- a/internal/notice/encoding.go
+++ b/internal/notice/encoding.go
@@ -13,7 +13,7 @@
 func encode(n cluster.Notice) *noticepb.Datagram {
 	m := &noticepb.Notice{Sender: n.Sender, Epoch: n.Epoch, Revision: n.Revision, Digest: n.Digest, Base: n.Base, Partial: n.Partial, More: n.More,
 		ConfigVersion: n.ConfigVersion, Evacuated: n.Evacuated, LeavesGone: n.LeavesGone, MembersGone: n.MembersGone,
-		Leaves: encodeLeaves(n.Leaves), Members: encodeMembers(n.Members)}
+		AgeMs: uint32(n.Age.Milliseconds()), Leaves: encodeLeaves(n.Leaves), Members: encodeMembers(n.Members)}
 	return &noticepb.Datagram{Content: &noticepb.Datagram_Notice{Notice: m}}
 }
 
@@ -29,7 +29,7 @@
 func decode(m *noticepb.Notice) cluster.Notice {
 	return cluster.Notice{Sender: m.Sender, Epoch: m.Epoch, Revision: m.Revision, Digest: m.Digest, Base: m.Base, Partial: m.Partial, More: m.More,
 		ConfigVersion: m.ConfigVersion, Evacuated: m.Evacuated, LeavesGone: m.LeavesGone, MembersGone: m.MembersGone,
-		Leaves: decodeLeaves(m.Leaves), Members: decodeMembers(m.Members)}
+		Age: time.Duration(m.AgeMs) * time.Millisecond, Leaves: decodeLeaves(m.Leaves), Members: decodeMembers(m.Members)}
 }
 
 func encodeView(v cluster.View, request cluster.ViewRequest) (*noticepb.View, error) {
