Guard the fields that tests share with running nodes

Cause: TestConfiguration set the stale state, and TestStopDuringRenewal its callback and flag, while the goroutines under test read them. The product does not race: what it read are the tests' fakes. Change: the fields are set under the fakes' lock or are atomic; TestStartOfAFleet reads its counters under the lock too. Before: go test -race -short fails in internal/follow and internal/roster. After: both pass.

--- a/internal/follow/fleet_test.go
+++ b/internal/follow/fleet_test.go
@@ -88,6 +88,8 @@
 		}
 		// One node reads for all in each interval of 2 s.
 		c.Check(r.readCount() <= 10, qt.IsTrue, qt.Commentf("%d linearizable reads by %d nodes", r.readCount(), fleetNodes))
+		r.mu.Lock()
+		defer r.mu.Unlock()
 		c.Check(r.cheapReads <= 4*fleetNodes, qt.IsTrue, qt.Commentf("%d serializable reads by %d nodes", r.cheapReads, fleetNodes))
 		c.Check(r.serializableReads <= 2*fleetNodes, qt.IsTrue, qt.Commentf("%d serializable reads of the operators' state", r.serializableReads))
 		c.Check(r.linearizableReads <= fleetNodes, qt.IsTrue, qt.Commentf("%d linearizable reads of the operators' state", r.linearizableReads))
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -294,8 +294,10 @@
 func TestConfiguration(t *testing.T) {
 	runGroup(t, 4, func(g *group) {
 		old := registry.OperatorState{Table: table(1)}
-		g.registry.staleOperator = &old
-		g.registry.update(func(s *registry.State) { s.Table = table(5) })
+		g.registry.update(func(s *registry.State) {
+			g.registry.staleOperator = &old
+			s.Table = table(5)
+		})
 		time.Sleep(1200 * time.Millisecond)
 		for i := range g.nodes {
 			g.Assert(g.state(i).Table.Version, qt.Equals, uint64(5))
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -29,12 +29,12 @@
 	entries sync.Map
 	entry   atomic.Pointer[registry.Member]
 	// during, if set, is called while the named call waits for its answer.
-	during func(call string)
+	during atomic.Pointer[func(call string)]
 }
 
 func (l *fakeLeases) call(name string) {
-	if l.during != nil {
-		l.during(name)
+	if during := l.during.Load(); during != nil {
+		(*during)(name)
 	}
 }
 
@@ -171,16 +171,16 @@
 		t.Run(step, func(t *testing.T) {
 			run(t, func(c *qt.C, l *fakeLeases, r *Roster) {
 				time.Sleep(2500 * time.Millisecond)
-				stopped := false
-				l.during = func(call string) {
-					if call == step && !stopped {
-						stopped = true
+				var stopped atomic.Bool
+				during := func(call string) {
+					if call == step && stopped.CompareAndSwap(false, true) {
 						c.Check(r.Stop(context.Background()), qt.IsNil)
 					}
 				}
+				l.during.Store(&during)
 				l.leaseEnded.Store(true)
 				time.Sleep(5 * time.Second)
-				c.Assert(stopped, qt.IsTrue)
+				c.Assert(stopped.Load(), qt.IsTrue)
 				l.entries.Range(func(lease, _ any) bool {
 					c.Check(lease, qt.Equals, uint64(1)) // this one has ended by itself
 					return true
