Test damaged datagrams

Other operators saw one malformed message end a process. 20,000 notices and crash reports with changed bytes and cut ends leave a node receiving. The test passes on the code as it was: no fault found here.

--- a/internal/notice/notice_test.go
+++ b/internal/notice/notice_test.go
@@ -4,12 +4,15 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
 
 	"cyclamenstream/api/cluster"
 	"cyclamenstream/api/registry"
@@ -91,6 +94,35 @@
 	}
 }
 
+// Guards against a damaged datagram that ends the process or stops it from receiving.
+func TestMutatedDatagrams(t *testing.T) {
+	c := qt.New(t)
+	from, _ := listen(t)
+	to, address := listen(t)
+	notice, err := proto.Marshal(encode(cluster.Notice{Sender: "n1", Epoch: 3, Revision: 9, Digest: 1 << 63, Base: 3, ConfigVersion: 5,
+		Evacuated: []string{"z2"}, Leaves: []registry.Leaf{testLeaf(1), testLeaf(2)}, LeavesGone: []string{"l9"}, MembersGone: []string{"n8"},
+		Members: []registry.Member{{ID: "n2", Zone: "z", Region: "r", CallerAddress: "a:1", PeerAddress: "a:2", Boot: 4}}}))
+	c.Assert(err, qt.IsNil)
+	crash, err := proto.Marshal(encodeCrash(cluster.Crash{Fingerprint: 1 << 60, Attempt: "a1", Leaf: "l1", Boot: 7}))
+	c.Assert(err, qt.IsNil)
+	raw, err := net.Dial("udp4", address)
+	c.Assert(err, qt.IsNil)
+	defer raw.Close()
+	random := rand.New(rand.NewPCG(1, 2))
+	for i := range 20_000 {
+		datagram := slices.Clone([][]byte{notice, crash}[i%2])
+		for range 1 + random.IntN(4) {
+			datagram[random.IntN(len(datagram))] = byte(random.Uint32())
+		}
+		datagram = datagram[:1+random.IntN(len(datagram))]
+		_, err := raw.Write(datagram)
+		c.Assert(err, qt.IsNil)
+	}
+	from.SendNotice([]string{address}, cluster.Notice{Sender: "last", Digest: 7})
+	for n := receiveNotice(t, to); n.Sender != "last" || n.Digest != 7; n = receiveNotice(t, to) {
+	}
+}
+
 // Guards against crashes that lose fields or become another message in encoding.
 func TestCrashArrivesWhole(t *testing.T) {
 	from, _ := listen(t)
