End one request, not the process, when a send panics

Cause: a panic in the processing of a leaf's answer ran on a goroutine of its own, so that it ended the process with all other requests. Only handlers' own goroutines were guarded. Change: sends and parts of gathered requests recover, log the stack with the request's id, and fail with the verdict "may have run". Not guarded: the goroutines that follow the registry and renew the lease, whose state a panic could leave half changed.

--- a/internal/gather/fetch.go
+++ b/internal/gather/fetch.go
@@ -257,8 +257,7 @@
 // exchange sends the request to the ticket's leaf and reports the result.
 func (f *fetch) exchange(ticket *direct.Ticket) {
 	s := sendResult{ticket: ticket, attempt: &verdict.Attempt{}}
-	s.reply, s.err = f.dispatcher.Sender.Send(f.activeRequest.sendCtx, ticket.Leaf(), exchange.Outgoing{Request: f.request,
-		Budget: time.Until(f.deadline), Connections: ticket.Connections, Once: !f.route.Idempotent, Attempt: s.attempt})
+	s.reply, s.err = f.callLeaf(ticket, s.attempt)
 	s.kind = f.kindOf(s)
 	outcome := direct.Outcome{Kind: s.kind}
 	if s.reply != nil {
@@ -273,6 +272,13 @@
 	f.results <- s
 }
 
+// callLeaf sends the request to the ticket's leaf.
+func (f *fetch) callLeaf(ticket *direct.Ticket, attempt *verdict.Attempt) (reply *exchange.Reply, err error) {
+	defer recoverPanic(f.request.ID, &err)
+	return f.dispatcher.Sender.Send(f.activeRequest.sendCtx, ticket.Leaf(), exchange.Outgoing{Request: f.request,
+		Budget: time.Until(f.deadline), Connections: ticket.Connections, Once: !f.route.Idempotent, Attempt: attempt})
+}
+
 // recordCrash reports to the crash detector that a leaf answered the request, or that the exchange ended without an
 // answer after the leaf may have run the request.
 func (f *fetch) recordCrash(s sendResult) {
--- a/internal/gather/gather.go
+++ b/internal/gather/gather.go
@@ -235,7 +235,7 @@
 	fetchCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	for _, service := range services {
-		go func() { parts <- part{service, r.fetch(fetchCtx, service)} }()
+		go func() { parts <- r.fetchPart(fetchCtx, service) }()
 	}
 	m := merger{total: len(services), minShare: r.route.MinShare}
 	cutoff := r.cutoff()
@@ -269,6 +269,14 @@
 	return exchange.Answer{Gathered: gathered}
 }
 
+// fetchPart fetches the part of one service.
+func (r *activeRequest) fetchPart(ctx context.Context, service string) (p part) {
+	p.service = service
+	defer recoverPanic(r.request.ID, &p.err)
+	p.fetchResult = r.fetch(ctx, service)
+	return p
+}
+
 // cutoff returns when an answer must be sent to reach the caller within the target latency.
 func (r *activeRequest) cutoff() time.Time {
 	if r.route.Target <= 0 {
--- a/internal/gather/gather_test.go
+++ b/internal/gather/gather_test.go
@@ -39,6 +39,8 @@
 	limit float64
 	// unreachable leaves accept no connection until the request is given up.
 	unreachable bool
+	// panics is set if the processing of the leaf's answer panics.
+	panics bool
 }
 
 // fakeLeaves is a Sender without a network.
@@ -79,6 +81,9 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
+	if b.panics {
+		panic("unexpected answer")
+	}
 	if b.refused {
 		out.Attempt.Refused()
 		return &exchange.Reply{Status: http.StatusServiceUnavailable}, exchange.ErrRefused
