Log and count what leaves say about leaving and pauses

Cause: a node that avoided a leaf because of its answers showed that nowhere; operators saw only that requests went elsewhere. Change: lines leaf_leaving and leaf_pause, with the request whose answer said so and with the end; counters leaves_leaving and leaf_pauses. TestSignalsAreLogged fails without the change (nothing was logged).

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"cyclamenstream/api/registry"
 	"cyclamenstream/api/route"
 	"cyclamenstream/api/verdict"
@@ -25,8 +27,10 @@
 	ColdShare, ColdSlack float64
 	// Now reads the monotonic clock.
 	Now func() time.Time
-	// Log receives what leaves state about their limits. Nil disables it.
+	// Log receives what leaves state about the requests that they want. Nil disables it.
 	Log *slog.Logger
+	// Scope receives the pool's metrics. Nil disables them.
+	Scope tally.Scope
 }
 
 // advertisedConnections is the part of a leaf's connections for the nodes that callers are sent to, if there are others.
@@ -48,6 +52,7 @@
 type Pool struct {
 	config   Config
 	rtts     zoneRTTs
+	signals  signalCounters
 	mu       sync.RWMutex
 	services map[string]*service
 }
@@ -57,7 +62,10 @@
 	if c.Log == nil {
 		c.Log = slog.New(slog.DiscardHandler)
 	}
-	return &Pool{config: c, rtts: newZoneRTTs(c), services: map[string]*service{}}
+	if c.Scope == nil {
+		c.Scope = tally.NoopScope
+	}
+	return &Pool{config: c, rtts: newZoneRTTs(c), signals: newSignalCounters(c.Scope), services: map[string]*service{}}
 }
 
 // Update replaces the view and returns the leaves of the old view that the new one lacks.
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -1,12 +1,17 @@
 package direct
 
 import (
+	"bytes"
 	"fmt"
+	"log/slog"
+	"regexp"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
 
 	"cyclamenstream/api/exchange"
 	"cyclamenstream/api/registry"
@@ -279,6 +284,42 @@
 	h.Assert(h.next(), qt.Equals, "near")
 }
 
+// Guards against signals of leaves that operators cannot find in the log, or that fill it.
+func TestSignalsAreLogged(t *testing.T) {
+	h := newHarness(t, "n1", leaf("a", "z1"))
+	var lines bytes.Buffer
+	log := slog.New(slog.NewTextHandler(&lines, nil))
+	scope := tally.NewTestScope("", nil)
+	h.pool = New(Config{Self: "n1", Zone: "z1", Region: "r1", Now: func() time.Time { return h.now }, Log: log, Scope: scope})
+	h.pool.Update(h.view)
+	for _, o := range []Outcome{{Kind: Refused, Pause: time.Second, RequestID: "q1"}, {Kind: Answered, Leaving: true, RequestID: "q2"}} {
+		tickets := []*Ticket{}
+		for range 3 {
+			ticket, _, err := h.pool.Acquire(Criteria{Service: "s"})
+			h.Assert(err, qt.IsNil)
+			tickets = append(tickets, ticket)
+		}
+		for _, ticket := range tickets {
+			ticket.Done(o)
+		}
+		h.now = h.now.Add(2 * time.Second)
+	}
+	restarted := leaf("a", "z1")
+	restarted.Boot = 2
+	h.view.Leaves = []registry.Leaf{restarted}
+	h.pool.Update(h.view)
+	h.now = h.now.Add(2 * departedMemory)
+	h.pool.Update(h.view)
+	for _, text := range []string{"leaf_pause .*boot=1 .*request=q1 outcome=began pause_ms=1000", "leaf_pause .*outcome=ended",
+		"leaf_leaving .*request=q2 outcome=began", "leaf_leaving .*boot=1 .*outcome=ended"} {
+		h.Check(regexp.MustCompile(text).FindAllString(lines.String(), -1), qt.HasLen, 1, qt.Commentf("%s in %s", text, lines.String()))
+	}
+	h.Check(strings.Count(lines.String(), "\n"), qt.Equals, 4)
+	counters := scope.Snapshot().Counters()
+	h.Check(counters["leaves_leaving+"].Value(), qt.Equals, int64(1))
+	h.Check(counters["leaf_pauses+"].Value(), qt.Equals, int64(1))
+}
+
 // Guards against requests to a leaf during the time for which it wants none, and against callers that are told nothing
 // or all the same time if each leaf wants none.
 func TestPausedLeafGetsNothing(t *testing.T) {
--- a/internal/direct/leaf.go
+++ b/internal/direct/leaf.go
@@ -60,6 +60,8 @@
 	// Leaving and Pause are as in exchange.Reply.
 	Leaving bool
 	Pause   time.Duration
+	// RequestID names the request in the log.
+	RequestID string
 }
 
 // Kind says how a request to a leaf ended.
@@ -92,17 +94,14 @@
 // leafState is what this node knows about one boot of a leaf.
 type leafState struct {
 	leaf        registry.Leaf
-	rtts        *zoneRTTs
+	pool        *Pool
 	connections int
 	running     []*Ticket
 	cold        coldLimiter
 	rateLimit   rateLimit
 	// replaced is set once another server was found at the leaf's address.
 	replaced bool
-	// leaving is set once the leaf has said that it is about to stop. It holds for the rest of the leaf's boot.
-	leaving bool
-	// pausedUntil is until when the leaf wants no requests from this node.
-	pausedUntil time.Time
+	signals  signals
 
 	latencies []time.Duration // most recent ones, at most sampleCount
 	median    time.Duration
@@ -118,7 +117,8 @@
 }
 
 func newLeafState(l registry.Leaf, p *Pool, now time.Time) *leafState {
-	state := &leafState{leaf: l, rtts: &p.rtts, cold: coldLimiter{until: now.Add(l.WarmupLeft)}}
+	state := &leafState{leaf: l, pool: p, cold: coldLimiter{until: now.Add(l.WarmupLeft)}}
+	state.signals.leaf = state
 	state.rateLimit = newRateLimit(state, p.config.Log)
 	return state
 }
@@ -160,7 +160,7 @@
 // admissionDelay returns the time until the leaf accepts a request from this node, by the limit and the pause that it
 // has stated.
 func (l *leafState) admissionDelay(now time.Time) time.Duration {
-	return max(l.rateLimit.delay(now), l.pausedUntil.Sub(now))
+	return max(l.rateLimit.delay(now), l.signals.pausedUntil.Sub(now))
 }
 
 // rank returns the leaf's rank, and whether it can take another request from this node.
@@ -200,7 +200,7 @@
 // baseLatency returns the latency without queueing: the round-trip time plus the service's processing time, or the
 // leaf's median if that is clearly different.
 func (l *leafState) baseLatency(now time.Time, processing time.Duration) time.Duration {
-	typical := l.rtts.estimate(l.leaf.Zone) + processing
+	typical := l.pool.rtts.estimate(l.leaf.Zone) + processing
 	if l.sampledAt.IsZero() || now.Sub(l.sampledAt) > sampleTTL {
 		return typical
 	}
@@ -226,10 +226,7 @@
 	if o.RateLimit != nil {
 		l.rateLimit.set(*o.RateLimit, now)
 	}
-	l.leaving = l.leaving || o.Leaving
-	if until := now.Add(o.Pause); o.Pause > 0 && until.After(l.pausedUntil) {
-		l.pausedUntil = until
-	}
+	l.signals.record(o, now)
 	switch o.Kind {
 	case Answered:
 		l.sampleOnce(d, now)
--- a/internal/direct/service.go
+++ b/internal/direct/service.go
@@ -60,10 +60,17 @@
 		if !slices.ContainsFunc(leaves, o.matches) {
 			gone = append(gone, o.leaf)
 			s.departed = append(s.departed, departedLeaf{o, now})
+			if slices.ContainsFunc(leaves, func(l registry.Leaf) bool { return l.ID == o.leaf.ID }) { // restarted
+				o.signals.end()
+			}
 		}
 	}
 	s.departed = slices.DeleteFunc(s.departed, func(d departedLeaf) bool {
-		return now.Sub(d.since) > departedMemory || slices.ContainsFunc(leaves, d.matches)
+		forgotten := now.Sub(d.since) > departedMemory
+		if forgotten {
+			d.signals.end()
+		}
+		return forgotten || slices.ContainsFunc(leaves, d.matches)
 	})
 	s.wake()
 	return gone
@@ -122,6 +129,7 @@
 	best.running = append(best.running, t)
 	best.cold.record(now)
 	best.rateLimit.recordSend(c.Purpose, now)
+	best.signals.recordSend()
 	return t, nil, nil
 }
 
@@ -173,7 +181,7 @@
 		if l.sampledAt.IsZero() {
 			continue
 		}
-		if processing := max(0, l.median-l.rtts.estimate(l.leaf.Zone)); fastest == 0 || processing < fastest {
+		if processing := max(0, l.median-l.pool.rtts.estimate(l.leaf.Zone)); fastest == 0 || processing < fastest {
 			fastest = processing
 		}
 	}
@@ -189,7 +197,7 @@
 // recordProcessing updates the usual processing time with that of the leaf. A clearly higher value has little weight,
 // so that a leaf that becomes slow does not make the others look slow.
 func (s *service) recordProcessing(l *leafState) {
-	processing := max(0, l.median-l.rtts.estimate(l.leaf.Zone))
+	processing := max(0, l.median-l.pool.rtts.estimate(l.leaf.Zone))
 	switch {
 	case s.usualProcessing == 0 || processing < s.usualProcessing/2:
 		s.usualProcessing = processing
@@ -201,7 +209,7 @@
 }
 
 func (s *service) allowed(l *leafState, c Criteria) bool {
-	if l.leaf.Draining || l.leaving || l.replaced || slices.Contains(s.evacuatedZones, l.leaf.Zone) || slices.Contains(c.Exclude, l.leaf.ID) {
+	if l.leaf.Draining || l.signals.leaving || l.replaced || slices.Contains(s.evacuatedZones, l.leaf.Zone) || slices.Contains(c.Exclude, l.leaf.ID) {
 		return false
 	}
 	return len(c.AllowedRegions) == 0 || slices.Contains(c.AllowedRegions, s.pool.config.RegionByZone[l.leaf.Zone])
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -106,9 +106,9 @@
 
 func newSender(scope tally.Scope) exchange.Sender { return platform.NewLeafClient(scope) }
 
-func newPool(s Settings, log *decision.Log) *direct.Pool {
+func newPool(s Settings, log *decision.Log, scope tally.Scope) *direct.Pool {
 	return direct.New(direct.Config{Self: s.VM, Zone: s.Zone, Region: s.Region, RegionByZone: s.Zones,
-		ColdShare: s.ColdShare, ColdSlack: s.ColdSlack, Now: time.Now, Log: log.Logger})
+		ColdShare: s.ColdShare, ColdSlack: s.ColdSlack, Now: time.Now, Log: log.Logger, Scope: scope})
 }
 
 // newBudget returns the budget of retries and hedges. The nodes divide the slack, so that its limit holds over all
--- a/internal/gather/fetch.go
+++ b/internal/gather/fetch.go
@@ -259,7 +259,7 @@
 	s := sendResult{ticket: ticket, attempt: &verdict.Attempt{}}
 	s.reply, s.err = f.callLeaf(ticket, s.attempt)
 	s.kind = f.kindOf(s)
-	outcome := direct.Outcome{Kind: s.kind}
+	outcome := direct.Outcome{Kind: s.kind, RequestID: f.request.ID}
 	if s.reply != nil {
 		outcome.Load = s.reply.Load
 		if s.kind != direct.Replaced {
