--- a/api/registry/registry.go
+++ b/api/registry/registry.go
@@ -10,9 +10,17 @@
 	"cyclamenstream/api/route"
 )
 
-// ErrNoLease means that a lease has ended. Every other error of a Registry means that it did not answer or is
-// unavailable. A write may then have taken effect, or may still take effect later.
-var ErrNoLease = errors.New("no such lease")
+// Errors of a Registry that say what it has found. Every other error means that it did not answer or is unavailable. A write
+// may then have taken effect, or may still take effect later.
+var (
+	// ErrNoLease means that a lease has ended.
+	ErrNoLease = errors.New("no such lease")
+	// ErrChanged means that an entry has been written again or removed.
+	ErrChanged = errors.New("the entry has changed")
+)
+
+// MaxEntries is the largest number of entries that one call of Publish writes.
+const MaxEntries = 32
 
 // Leaf is one backend server as the registry lists it.
 type Leaf struct {
@@ -94,9 +102,11 @@
 	Grant(ctx context.Context, ttl time.Duration) (lease uint64, err error)
 	// Renew extends a lease by its time to live, or returns ErrNoLease.
 	Renew(ctx context.Context, lease uint64) error
-	// Publish writes this node's entry. The entry is removed when the lease ends. Publish returns ErrNoLease if the
-	// lease has ended.
-	Publish(ctx context.Context, lease uint64, m Member) error
-	// Revoke ends a lease and removes its entry.
+	// Publish writes the entries of nodes, at most MaxEntries, and returns their revision. They are removed when the lease
+	// ends, unless they are written again under another lease. Publish returns ErrNoLease if the lease has ended.
+	Publish(ctx context.Context, lease uint64, members ...Member) (revision uint64, err error)
+	// Remove removes a node's entry, or returns ErrChanged if the entry has another revision.
+	Remove(ctx context.Context, member string, revision uint64) error
+	// Revoke ends a lease and removes its entries.
 	Revoke(ctx context.Context, lease uint64) error
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -219,7 +219,7 @@
 		p.apply(state, nodes.Advertised())
 		preconnector.Changed()
 	})
-	nodes = roster.New(p.Registry, roster.Config{LeaseTTL: leaseTTL, RenewInterval: renewInterval,
+	nodes = roster.New(p.Registry, p.Peers, roster.Config{LeaseTTL: leaseTTL, RenewInterval: renewInterval,
 		ResolveTTL: min(resolveTTL, s.ResolveTTLMax.Duration)}, self, follower.Serving, p.Log)
 	return nodes, follower, preconnector
 }
--- a/internal/notice/encoding.go
+++ b/internal/notice/encoding.go
@@ -26,6 +26,26 @@
 	return cluster.Crash{Fingerprint: m.Request, Attempt: m.Attempt, Leaf: m.Leaf, Boot: m.Boot, Answered: m.Answered}
 }
 
+func encodeRegistration(r cluster.Registration) *noticepb.Datagram {
+	m := &noticepb.Registration{Member: encodeMember(r.Member), Leaving: r.Leaving}
+	return &noticepb.Datagram{Content: &noticepb.Datagram_Registration{Registration: m}}
+}
+
+// decodeRegistration returns false if the registration does not name a node and its address.
+func decodeRegistration(m *noticepb.Registration) (cluster.Registration, bool) {
+	r := cluster.Registration{Member: decodeMember(m.Member), Leaving: m.Leaving}
+	return r, r.Member.ID != "" && r.Member.PeerAddress != ""
+}
+
+func encodeRegistered(r cluster.Registered) *noticepb.Datagram {
+	m := &noticepb.Registered{Member: r.Member, Boot: r.Boot, Published: r.Published, Registrar: r.Registrar}
+	return &noticepb.Datagram{Content: &noticepb.Datagram_Registered{Registered: m}}
+}
+
+func decodeRegistered(m *noticepb.Registered) cluster.Registered {
+	return cluster.Registered{Member: m.Member, Boot: m.Boot, Published: m.Published, Registrar: m.Registrar}
+}
+
 func decode(m *noticepb.Notice) cluster.Notice {
 	return cluster.Notice{Sender: m.Sender, Epoch: m.Epoch, Revision: m.Revision, Digest: m.Digest, Base: m.Base, Partial: m.Partial, More: m.More,
 		ConfigVersion: m.ConfigVersion, Evacuated: m.Evacuated, LeavesGone: m.LeavesGone, MembersGone: m.MembersGone,
@@ -78,17 +98,25 @@
 func encodeMembers(members []registry.Member) []*noticepb.Member {
 	var list []*noticepb.Member
 	for _, m := range members {
-		list = append(list, &noticepb.Member{Id: m.ID, Zone: m.Zone, Region: m.Region,
-			CallerAddress: m.CallerAddress, PeerAddress: m.PeerAddress, Boot: m.Boot, Capacity: m.Capacity, Overloaded: m.Overloaded})
+		list = append(list, encodeMember(m))
 	}
 	return list
 }
 
+func encodeMember(m registry.Member) *noticepb.Member {
+	return &noticepb.Member{Id: m.ID, Zone: m.Zone, Region: m.Region,
+		CallerAddress: m.CallerAddress, PeerAddress: m.PeerAddress, Boot: m.Boot, Capacity: m.Capacity, Overloaded: m.Overloaded}
+}
+
 func decodeMembers(members []*noticepb.Member) []registry.Member {
 	var list []registry.Member
 	for _, m := range members {
-		list = append(list, registry.Member{ID: m.Id, Zone: m.Zone, Region: m.Region,
-			CallerAddress: m.CallerAddress, PeerAddress: m.PeerAddress, Boot: m.Boot, Capacity: m.Capacity, Overloaded: m.Overloaded})
+		list = append(list, decodeMember(m))
 	}
 	return list
 }
+
+func decodeMember(m *noticepb.Member) registry.Member {
+	return registry.Member{ID: m.GetId(), Zone: m.GetZone(), Region: m.GetRegion(), CallerAddress: m.GetCallerAddress(),
+		PeerAddress: m.GetPeerAddress(), Boot: m.GetBoot(), Capacity: m.GetCapacity(), Overloaded: m.GetOverloaded()}
+}
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -21,21 +21,26 @@
 	maxDatagramBytes = 1400
 	// queueLength is the capacity of each queue of received messages. A message is at most one datagram.
 	queueLength = 128
+	// registrationQueueLength is that of the queue of registrations, of which a node gets many at the same time.
+	registrationQueueLength = 512
 )
 
-// UDPTransport implements cluster.Peers and cluster.Crashes over UDP.
+// UDPTransport implements cluster.Peers, cluster.Crashes and cluster.Registrations over UDP.
 type UDPTransport struct {
-	conn     *net.UDPConn
-	received chan cluster.Notice
-	crashes  chan cluster.Crash
-	sent     tally.Counter
-	dropped  tally.Counter
-	log      *decision.Log
+	conn          *net.UDPConn
+	received      chan cluster.Notice
+	crashes       chan cluster.Crash
+	registrations chan cluster.Registration
+	registered    chan cluster.Registered
+	sent          tally.Counter
+	dropped       tally.Counter
+	log           *decision.Log
 }
 
 var (
-	_ cluster.Peers   = (*UDPTransport)(nil)
-	_ cluster.Crashes = (*UDPTransport)(nil)
+	_ cluster.Peers         = (*UDPTransport)(nil)
+	_ cluster.Crashes       = (*UDPTransport)(nil)
+	_ cluster.Registrations = (*UDPTransport)(nil)
 )
 
 // Listen returns a transport that listens on address (IP:port).
@@ -49,7 +54,8 @@
 		return nil, err
 	}
 	return &UDPTransport{conn: conn, received: make(chan cluster.Notice, queueLength),
-		crashes: make(chan cluster.Crash, queueLength), log: log,
+		crashes: make(chan cluster.Crash, queueLength), registrations: make(chan cluster.Registration, registrationQueueLength),
+		registered: make(chan cluster.Registered, queueLength), log: log,
 		sent: scope.Counter("notices_sent"), dropped: scope.Counter("notices_dropped")}, nil
 }
 
@@ -79,6 +85,14 @@
 			enqueue(t.received, notice, t.dropped)
 		case *noticepb.Datagram_Crash:
 			enqueue(t.crashes, decodeCrash(content.Crash), t.dropped)
+		case *noticepb.Datagram_Registration:
+			if registration, ok := decodeRegistration(content.Registration); ok {
+				enqueue(t.registrations, registration, t.dropped)
+			} else {
+				t.dropped.Inc(1)
+			}
+		case *noticepb.Datagram_Registered:
+			enqueue(t.registered, decodeRegistered(content.Registered), t.dropped)
 		}
 	}
 }
@@ -125,6 +139,24 @@
 	t.send(addresses, payload, err)
 }
 
+// SendRegistration implements cluster.Registrations.
+func (t *UDPTransport) SendRegistration(address string, r cluster.Registration) {
+	payload, err := proto.Marshal(encodeRegistration(r))
+	t.send([]string{address}, payload, err)
+}
+
+// Registrations implements cluster.Registrations.
+func (t *UDPTransport) Registrations() <-chan cluster.Registration { return t.registrations }
+
+// SendRegistered implements cluster.Registrations.
+func (t *UDPTransport) SendRegistered(address string, r cluster.Registered) {
+	payload, err := proto.Marshal(encodeRegistered(r))
+	t.send([]string{address}, payload, err)
+}
+
+// Registered implements cluster.Registrations.
+func (t *UDPTransport) Registered() <-chan cluster.Registered { return t.registered }
+
 // send sends a payload. err is the error of its encoding.
 func (t *UDPTransport) send(addresses []string, payload []byte, err error) {
 	if err != nil {
--- a/internal/notice/notice_test.go
+++ b/internal/notice/notice_test.go
@@ -94,6 +94,27 @@
 	}
 }
 
+// Guards against registrations and answers that lose fields, and against a registration without a node.
+func TestRegistrationsArriveWhole(t *testing.T) {
+	c := qt.New(t)
+	from, _ := listen(t)
+	to, address := listen(t)
+	registration := cluster.Registration{Leaving: true, Member: registry.Member{ID: "n2", Zone: "z", Region: "r", CallerAddress: "a:1",
+		PeerAddress: "a:2", Boot: 4, Capacity: 0.25, Overloaded: true}}
+	registered := cluster.Registered{Member: "n2", Boot: 4, Published: true, Registrar: "n1"}
+	from.SendRegistration(address, cluster.Registration{})
+	from.SendRegistration(address, registration)
+	from.SendRegistered(address, registered)
+	select {
+	case got := <-to.Registered():
+		c.Check(got, qt.DeepEquals, registered)
+	case <-time.After(5 * time.Second):
+		t.Fatal("no answer within 5 s")
+	}
+	c.Assert(len(to.Registrations()), qt.Equals, 1) // datagrams of one socket arrive in order
+	c.Check(<-to.Registrations(), qt.DeepEquals, registration)
+}
+
 // Guards against a damaged datagram that ends the process or stops it from receiving.
 func TestMutatedDatagrams(t *testing.T) {
 	c := qt.New(t)
@@ -105,12 +126,16 @@
 	c.Assert(err, qt.IsNil)
 	crash, err := proto.Marshal(encodeCrash(cluster.Crash{Fingerprint: 1 << 60, Attempt: "a1", Leaf: "l1", Boot: 7}))
 	c.Assert(err, qt.IsNil)
+	registration, err := proto.Marshal(encodeRegistration(cluster.Registration{Member: registry.Member{ID: "n2", PeerAddress: "a:2", Boot: 4}}))
+	c.Assert(err, qt.IsNil)
+	registered, err := proto.Marshal(encodeRegistered(cluster.Registered{Member: "n2", Boot: 4, Published: true, Registrar: "n1"}))
+	c.Assert(err, qt.IsNil)
 	raw, err := net.Dial("udp4", address)
 	c.Assert(err, qt.IsNil)
 	defer raw.Close()
 	random := rand.New(rand.NewPCG(1, 2))
 	for i := range 20_000 {
-		datagram := slices.Clone([][]byte{notice, crash}[i%2])
+		datagram := slices.Clone([][]byte{notice, crash, registration, registered}[i%4])
 		for range 1 + random.IntN(4) {
 			datagram[random.IntN(len(datagram))] = byte(random.Uint32())
 		}
--- a/internal/roster/resolve_test.go
+++ b/internal/roster/resolve_test.go
@@ -60,7 +60,7 @@
 
 // Guards against limits that are divided among other nodes than those to which callers are sent.
 func TestAdvertisedIsTheUnionOfAllAnswers(t *testing.T) {
-	r := New(nil, Config{}, member("n0", "z1", "r1", 0.8), func() bool { return true }, nil)
+	r := New(nil, nil, Config{}, member("n0", "z1", "r1", 0.8), func() bool { return true }, nil)
 	r.Update([]registry.Member{member("n1", "z1", "r1", 0.8), member("n2", "z1", "r1", 0.2), member("n3", "z2", "r2", 0.2), member("n4", "z2", "r2", 0.2)}, 0)
 	resolved := map[string]bool{}
 	for zone, region := range map[string]string{"z1": "r1", "z2": "r2"} {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"cyclamenstream/api/cluster"
 	"cyclamenstream/api/registry"
 	"cyclamenstream/internal/decision"
 )
@@ -34,10 +35,12 @@
 // Roster maintains this node's membership. It answers the callers' requests for addresses through Resolve.
 type Roster struct {
 	registry registry.Registry
-	config   Config
-	self     registry.Member
-	serving  func() bool
-	log      *decision.Log
+	// registrations is nil if this node neither registers with others nor they with it.
+	registrations cluster.Registrations
+	config        Config
+	self          registry.Member
+	serving       func() bool
+	log           *decision.Log
 
 	// changed receives a signal when the entry has to be written again.
 	changed chan struct{}
@@ -49,7 +52,13 @@
 	// overloaded is set while the processor of this node is overloaded. self.Overloaded is what the entry says.
 	overloaded bool
 	lease      uint64
-	published  time.Time
+	// renewed is when the latest call began that has granted or renewed the lease.
+	renewed   time.Time
+	published time.Time
+	// revision is the revision of this node's entry under the lease.
+	revision uint64
+	// registration is this node's registration with another one.
+	registration registration
 	// missing is set if the registry's list of nodes lacks this node's entry. outdated is set if the entry differs from self.
 	missing  bool
 	outdated bool
@@ -57,19 +66,31 @@
 }
 
 // New returns the roster of a node. serving reports whether the node can serve requests.
-func New(r registry.Registry, c Config, self registry.Member, serving func() bool, log *decision.Log) *Roster {
-	return &Roster{registry: r, config: c, self: self, serving: serving, log: log, changed: make(chan struct{}, 1)}
+func New(r registry.Registry, registrations cluster.Registrations, c Config, self registry.Member, serving func() bool, log *decision.Log) *Roster {
+	return &Roster{registry: r, registrations: registrations, config: c, self: self, serving: serving, log: log, changed: make(chan struct{}, 1),
+		registration: registration{suspects: map[string]time.Time{}}}
 }
 
-// Run maintains the entry until ctx ends. It writes the entry as soon as this node can serve.
+// Run maintains the entry, and those of the nodes that register with this one, until ctx ends. It writes the entry as soon as
+// this node can serve.
 func (r *Roster) Run(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	retryDelay := renewRetryDelay
+	var registered <-chan cluster.Registered
+	if r.registrations != nil {
+		registered = r.registrations.Registered()
+		var running sync.WaitGroup
+		defer running.Wait()
+		running.Go(func() { newRegistrar(r).run(ctx) })
+	}
 	for {
 		select {
 		case <-timer.C:
 		case <-r.changed:
+		case answer := <-registered:
+			r.handleRegistered(answer)
+			continue
 		case <-ctx.Done():
 			return
 		}
@@ -79,6 +100,13 @@
 		case !r.serving():
 			delay = startPollInterval
 		default:
+			registering, leased := r.register()
+			if registering {
+				delay = registrationInterval
+			}
+			if registering && !leased {
+				break
+			}
 			err := r.renewOrPublish(ctx)
 			if err == nil {
 				retryDelay = renewRetryDelay
@@ -107,10 +135,13 @@
 		return nil
 	}
 	if lease != 0 {
+		began := time.Now()
 		err := r.registry.Renew(ctx, lease)
+		if err == nil {
+			r.recordRenewal(lease, began)
+		}
 		if err == nil && !missing && outdated {
-			err = r.registry.Publish(ctx, lease, self)
-			r.setOutdated(err != nil)
+			err = r.publishAgain(ctx, lease, self)
 		}
 		if err == nil && !missing {
 			return nil
@@ -125,6 +156,7 @@
 
 // publish writes the entry under a new lease. If this node begins to stop meanwhile, it ends the lease again.
 func (r *Roster) publish(ctx context.Context) error {
+	began := time.Now()
 	lease, err := r.registry.Grant(ctx, r.config.LeaseTTL)
 	if err != nil {
 		return err
@@ -132,10 +164,11 @@
 	r.mu.Lock()
 	stopping, self := r.stopping, r.self
 	r.mu.Unlock()
+	var revision uint64
 	if !stopping {
-		err = r.registry.Publish(ctx, lease, self)
+		revision, err = r.registry.Publish(ctx, lease, self)
 	}
-	if !r.adopt(lease, err) {
+	if !r.adopt(lease, revision, began, err) {
 		return errors.Join(err, r.revoke(context.WithoutCancel(ctx), lease))
 	}
 	if err != nil {
@@ -145,16 +178,35 @@
 	return nil
 }
 
-// adopt records the lease under which the entry was written, unless publishErr is set. It returns false if this node is
-// stopping and the lease must be ended.
-func (r *Roster) adopt(lease uint64, publishErr error) bool {
+// publishAgain writes the changed entry under the lease that it has.
+func (r *Roster) publishAgain(ctx context.Context, lease uint64, self registry.Member) error {
+	revision, err := r.registry.Publish(ctx, lease, self)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.outdated = err != nil; err == nil {
+		r.revision = revision
+	}
+	return err
+}
+
+func (r *Roster) recordRenewal(lease uint64, began time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lease == lease {
+		r.renewed = began
+	}
+}
+
+// adopt records the lease under which the entry was written, unless publishErr is set. began is when the lease was requested.
+// It returns false if this node is stopping and the lease must be ended.
+func (r *Roster) adopt(lease, revision uint64, began time.Time, publishErr error) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.stopping {
 		return false
 	}
 	if publishErr == nil {
-		r.lease, r.published, r.missing, r.outdated = lease, time.Now(), false, false
+		r.lease, r.revision, r.renewed, r.published, r.missing, r.outdated = lease, revision, began, time.Now(), false, false
 	}
 	return true
 }
@@ -165,10 +217,14 @@
 	defer r.mu.Unlock()
 	r.overloaded = overloaded
 	if r.lease != 0 {
-		select {
-		case r.changed <- struct{}{}:
-		default: // the signal before has not been handled yet
-		}
+		r.signalChange()
+	}
+}
+
+func (r *Roster) signalChange() {
+	select {
+	case r.changed <- struct{}{}:
+	default: // the signal before has not been handled yet
 	}
 }
 
@@ -181,12 +237,6 @@
 	return r.outdated
 }
 
-func (r *Roster) setOutdated(outdated bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.outdated = outdated
-}
-
 // Update sets the list of nodes that the registry holds, and notes whether this node's entry is missing from it.
 // leafConnections is the number of connections that each leaf accepts from all nodes together; 0 means no limit.
 func (r *Roster) Update(members []registry.Member, leafConnections int) {
@@ -204,15 +254,24 @@
 	}
 }
 
-// Stop removes this node's entry from the registry and its address from answers to callers.
+// Stop removes this node's entry from the registry and its address from answers to callers. The lease is left to end by
+// itself, since the entries of nodes that register with this one exist under it until these have found another registrar.
 func (r *Roster) Stop(ctx context.Context) error {
 	r.mu.Lock()
-	lease := r.lease
+	lease, revision := r.lease, r.revision
 	r.stopping, r.lease = true, 0
 	r.mu.Unlock()
+	r.deregister()
 	if lease == 0 {
 		return nil
 	}
+	if r.registrations != nil {
+		removeCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		if err := r.registry.Remove(removeCtx, r.self.ID, revision); err == nil {
+			return nil
+		}
+	}
 	return r.revoke(ctx, lease)
 }
 
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -43,12 +43,11 @@
 	return uint64(l.granted.Add(1)), nil
 }
 
-func (l *fakeLeases) Publish(_ context.Context, lease uint64, m registry.Member) error {
-	l.entry.Store(&m)
-	l.published.Add(1)
+func (l *fakeLeases) Publish(_ context.Context, lease uint64, members ...registry.Member) (uint64, error) {
+	l.entry.Store(&members[0])
 	l.entries.Store(lease, true)
 	l.call("publish")
-	return nil
+	return uint64(l.published.Add(1)), nil
 }
 
 func (l *fakeLeases) Renew(ctx context.Context, _ uint64) error {
@@ -81,7 +80,7 @@
 		l := &fakeLeases{}
 		log := decision.New(io.Discard, "n1", "z1")
 		ready := time.Now().Add(time.Second)
-		r := New(l, Config{LeaseTTL: 4 * time.Second, RenewInterval: interval, ResolveTTL: time.Second}, self,
+		r := New(l, nil, Config{LeaseTTL: 4 * time.Second, RenewInterval: interval, ResolveTTL: time.Second}, self,
 			func() bool { return !time.Now().Before(ready) }, log)
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -208,7 +208,9 @@
 
 func (s *Store) writeItems(w http.ResponseWriter, r *http.Request) {
 	var body struct {
-		Puts []Item `json:"puts"`
+		Expect []Item   `json:"expect"`
+		Puts   []Item   `json:"puts"`
+		Remove []string `json:"remove"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -222,8 +224,18 @@
 			return
 		}
 	}
+	for _, expected := range body.Expect {
+		if s.items[expected.Key].Revision != expected.Revision {
+			w.WriteHeader(http.StatusPreconditionFailed)
+			return
+		}
+	}
+	s.revision++
 	for _, item := range body.Puts {
-		s.put(item.Key, item.Value, item.Lease)
+		s.items[item.Key] = Item{Key: item.Key, Value: item.Value, Revision: s.revision, Lease: item.Lease}
+	}
+	for _, key := range body.Remove {
+		delete(s.items, key)
 	}
 	writeJSON(w, map[string]any{"revision": s.revision})
 }
