Report ready once the configuration is in force

A node counted as ready, and published its entry, as soon as it knew a configuration; the time until the routing was in force, in which it logs each entry, was a moment on an idle machine only. Change: readiness follows the routing in force.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -65,6 +65,10 @@
 	sampleEvery = 500
 )
 
+// components provides the parts of an entry node.
+var components = fx.Provide(newLog, newMetrics, newRegistry, newPeers, newViews, newPool, newSender, newBudget, newDetector, newActiveRouting,
+	newDispatcher, newRoster, newLifecycle)
+
 // New returns the application of one entry node. path is the file that the settings were read from, or empty if there
 // is none.
 func New(s Settings, path string) *fx.App {
@@ -73,7 +77,7 @@
 		fx.StartTimeout(startTimeout),
 		fx.StopTimeout(s.ShutdownGrace.Duration+stopMargin),
 		fx.Supply(s, settingsPath(path)),
-		fx.Provide(newLog, newMetrics, newRegistry, newPeers, newViews, newPool, newSender, newBudget, newDetector, newActiveRouting, newDispatcher, newRoster, newLifecycle),
+		components,
 		fx.Invoke(func(lc fx.Lifecycle, l *lifecycle) { lc.Append(fx.Hook{OnStart: l.start, OnStop: l.stop}) }),
 	)
 }
@@ -131,6 +135,9 @@
 	}
 }
 
+// known reports whether a configuration is in force.
+func (a *activeRouting) known() bool { return a.index.Load() != nil }
+
 // knownPeers holds the addresses of the other nodes.
 type knownPeers struct{ atomic.Pointer[[]string] }
 
@@ -220,7 +227,7 @@
 		preconnector.Changed()
 	})
 	nodes = roster.New(p.Registry, p.Peers, roster.Config{LeaseTTL: leaseTTL, RenewInterval: renewInterval,
-		ResolveTTL: min(resolveTTL, s.ResolveTTLMax.Duration)}, self, follower.Serving, p.Log)
+		ResolveTTL: min(resolveTTL, s.ResolveTTLMax.Duration)}, self, p.Active.known, p.Log)
 	return nodes, follower, preconnector
 }
 
