review: case 6, a request whose crashes are silent is never refused

Cause: a send without an answer at the end of the request's time counts as abandoned, and abandoned sends are not reported to the crash detector.

--- a/review/standins-2/leaf.go
+++ b/review/standins-2/leaf.go
@@ -58,6 +58,8 @@
 	// Poison is the prefix of the paths of requests that crash the leaf. It is back after CrashDown.
 	Poison    string
 	CrashDown time.Duration
+	// SilentCrash is set if a crash takes the leaf's machine with it: its connections stay silent until it is back.
+	SilentCrash bool
 	// Warmup is how long a boot that starts during traffic is cold.
 	Warmup time.Duration
 	// Fails returns whether the leaf fails a request with 500 although its health is good. It may be nil.
@@ -174,6 +176,7 @@
 		l.mu.Lock()
 		l.sequence++
 		switch present, readable := l.fleet.store.Has("servers/" + l.ID); {
+		case l.hung.Load():
 		case l.up && readable && present:
 			l.lastSeen = time.Now()
 		case l.up && readable:
@@ -217,10 +220,16 @@
 	a.Status = status
 	f.mu.Unlock()
 	f.rec.Printf("leaf %s got %s %s tenant=%q ran=%v status=%d crashed=%v", l.ID, id, r.URL.Path, a.Tenant, a.Ran, status, crash)
-	if crash {
+	if !crash {
+		return
+	}
+	if l.SilentCrash {
+		l.silentCrash()
+		<-r.Context().Done()
+	} else {
 		go l.crashAndReturn()
-		panic(http.ErrAbortHandler)
 	}
+	panic(http.ErrAbortHandler)
 }
 
 // health answers whether the leaf is well, and how long it stays cold.
@@ -267,6 +276,10 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return http.StatusInternalServerError, false
 	}
+	if l.hung.Load() {
+		<-r.Context().Done()
+		return 0, false
+	}
 	if l.Poison != "" && strings.HasPrefix(r.URL.Path, l.Poison) {
 		l.fleet.mu.Lock()
 		a.Crashed = true
@@ -291,6 +304,21 @@
 	}
 }
 
+// silentCrash makes the leaf answer nothing, and ends its connections once it is back.
+func (l *Leaf) silentCrash() {
+	if l.hung.Swap(true) {
+		return
+	}
+	l.fleet.rec.Printf("leaf %s is silent", l.ID)
+	time.AfterFunc(l.CrashDown, func() {
+		l.Crash()
+		l.hung.Store(false)
+		for l.Start() != nil {
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+}
+
 func stamp(leaf, id string) string {
 	h := fnv.New64a()
 	_, _ = io.WriteString(h, leaf+" "+id)
