--- a/internal/crowdtest/crowd_test.go
+++ b/internal/crowdtest/crowd_test.go
@@ -38,15 +38,20 @@
 	os.Exit(code)
 }
 
-// run lets each member of a crowd act at once, waits, and verifies the node while the crowd is still connected. A failed
-// act is no failure of the test: the node may refuse these callers.
+// run lets each member of a crowd of callers act at once, waits, and verifies the node while the crowd is still connected. A
+// failed act is no failure of the test: the node may refuse these callers.
 func (n *node) run(size int, act func(member int, c net.Conn) error) {
+	n.runOn(n.listeners.callers, callerTimeout, size, act)
+}
+
+// runOn is run for a listener. The members' connections have the given timeout.
+func (n *node) runOn(address string, timeout time.Duration, size int, act func(member int, c net.Conn) error) {
 	done := make(chan struct{})
 	var watching, crowd sync.WaitGroup
 	watching.Go(func() { n.watch(done) })
 	for i := range size {
 		crowd.Go(func() {
-			if c, err := n.dial(); err == nil {
+			if c, err := n.dial(address, timeout); err == nil {
 				_ = act(i, c)
 			}
 		})
