Let connections with large bodies hold more unread data

What callers would see: with 8 KiB of unread data a connection, a body of 256 KiB takes 32 round trips, 190 ms to a caller 3 ms away, where it took a few before the bound.

While at most half of the budget is in use, a body of more than 8 KiB raises the receive buffer of its connection to 64 KiB. The kernel cannot take room back that a peer knows of, so the account keeps the difference until the connection ends (Account.Keep); nothing gives way for it.

--- a/internal/entry/callerconn.go
+++ b/internal/entry/callerconn.go
@@ -5,10 +5,12 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"cyclamenstream/api/route"
 	"cyclamenstream/internal/membudget"
+	"cyclamenstream/internal/tcpopt"
 )
 
 // callerListener applies the operators' time limits to the connections of callers. net/http has such limits too, but
@@ -92,6 +94,19 @@
 	return nil
 }
 
+// GrowReceived lets the connection hold more data that is not read yet.
+func (c *callerConn) GrowReceived(bytes int) error {
+	metered, ok := c.Conn.(*meteredConn)
+	if !ok {
+		return nil
+	}
+	conn, ok := metered.Conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	return tcpopt.GrowReceived(conn, bytes)
+}
+
 // connState is a hook of http.Server, which calls it before it sets the deadline of an idle connection.
 func connState(c net.Conn, s http.ConnState) {
 	caller, ok := c.(*callerConn)
--- a/internal/entry/meteredconn_test.go
+++ b/internal/entry/meteredconn_test.go
@@ -2,17 +2,21 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"cyclamenstream/api/exchange"
 	"cyclamenstream/api/route"
 	"cyclamenstream/internal/membudget"
+	"cyclamenstream/internal/tcpopt"
 	"cyclamenstream/platform"
 )
 
@@ -156,3 +160,43 @@
 		})
 	}
 }
+
+// echoServer answers every request with its body.
+type echoServer struct{}
+
+func (echoServer) Serve(_ context.Context, r *exchange.Request) exchange.Answer {
+	return exchange.Answer{Reply: &exchange.Reply{Status: http.StatusOK, Body: r.Body}}
+}
+
+// Guards against large bodies that arrive slowly over a connection whose receive buffer does not grow, and against a grown buffer
+// that is not counted.
+func TestConnectionGrowsForLargeBody(t *testing.T) {
+	c := qt.New(t)
+	limits := func() route.Limits { return route.Limits{BodyBytes: bodyLimit} }
+	server := newServer(platform.NewCallerHandler(echoServer{}, limits))
+	server.ConnContext, server.ConnState = platform.ConnContext, connState
+	budget := smallBudget(100)
+	listener, err := tcpopt.Listen("127.0.0.1:0", membudget.ReceiveBytes, 10)
+	c.Assert(err, qt.IsNil)
+	go func() {
+		_ = server.Serve(callerListener{meteredListener{listener, budget.Open}, limits, newUnusedConns()})
+	}()
+	defer server.Close()
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	c.Assert(err, qt.IsNil)
+	defer caller.Close()
+	answers := bufio.NewReader(caller)
+	for _, size := range []int{1000, bodyLimit} {
+		go func() { _, _ = fmt.Fprintf(caller, postHead, "q", size, strings.Repeat("b", size)) }() // fails only with the read below
+		response, err := http.ReadResponse(answers, nil)
+		c.Assert(err, qt.IsNil)
+		body, err := io.ReadAll(response.Body)
+		c.Assert(err, qt.IsNil)
+		c.Check(body, qt.HasLen, size)
+		kept := int64(0)
+		if size == bodyLimit {
+			kept = 64<<10 - membudget.ReceiveBytes
+		}
+		eventually(t, "the request gives its memory back", func() bool { return budget.Stats().Used == membudget.ConnectionBytes+kept })
+	}
+}
--- a/internal/membudget/account.go
+++ b/internal/membudget/account.go
@@ -32,6 +32,8 @@
 	waiter *waiter
 	phase  atomic.Int32
 	held   atomic.Int64
+	// kept is the part of held that is given back only when the connection ends.
+	kept atomic.Int64
 	// progress is the sequence number of the last step of progress.
 	progress atomic.Int64
 }
@@ -128,12 +130,25 @@
 	return true
 }
 
+// Keep adds n bytes to the account until the connection ends. It returns false if more than half of the budget would be in use,
+// since they are not given back when the request must be refused.
+func (a *Account) Keep(n int64) bool {
+	if a == nil || a.budget.used.Load()+n > a.budget.config.Bytes/2 || !a.take(n) {
+		return false
+	}
+	a.kept.Add(n)
+	return true
+}
+
+// connectionBytes returns what the connection itself holds.
+func (a *Account) connectionBytes() int64 { return ConnectionBytes + a.kept.Load() }
+
 // Release gives back all but what the connection itself holds.
 func (a *Account) Release() {
 	if a == nil {
 		return
 	}
-	if n := a.held.Load() - ConnectionBytes; n > 0 {
+	if n := a.held.Load() - a.connectionBytes(); n > 0 {
 		a.held.Add(-n)
 		a.budget.give(n)
 	}
--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -190,7 +190,7 @@
 // limit returns how much of the budget may be used once the account holds n bytes more.
 func (b *Budget) limit(a *Account, n int64) int64 {
 	switch {
-	case a.held.Load()+n > ConnectionBytes+SmallRequestBytes:
+	case a.held.Load()+n > a.connectionBytes()+SmallRequestBytes:
 		return b.config.Bytes - max(int64(reserveShare*float64(b.config.Bytes)), b.config.ReservedBytes)
 	case !a.reserved:
 		return b.config.Bytes - b.config.ReservedBytes
@@ -219,7 +219,7 @@
 	list := b.scratch[:0]
 	for _, a := range b.accounts {
 		if a != except {
-			list = append(list, holding{account: a, phase: Phase(a.phase.Load()), held: a.held.Load(), progress: a.progress.Load()})
+			list = append(list, holding{account: a, phase: Phase(a.phase.Load()), held: a.held.Load(), connection: a.connectionBytes(), progress: a.progress.Load()})
 		}
 	}
 	b.scratch = list
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -216,3 +216,30 @@
 		t.Fatalf("evicted: %v; %d requests were refused", evicted.Load(), refused)
 	}
 }
+
+// Guards against memory that a connection keeps and that is given back with its request, or is counted among what it can give
+// back, and against connections that keep more than half of the budget.
+func TestKeptMemoryEndsWithTheConnection(t *testing.T) {
+	c := qt.New(t)
+	const kept = 56 << 10
+	b := newBudget(1*mib, 100)
+	first := open(b)
+	c.Assert(first.receive(bodySize), qt.IsTrue)
+	c.Assert(first.account.Keep(kept), qt.IsTrue)
+	gain := holding{account: first.account, phase: Body, held: first.account.held.Load(), connection: first.account.connectionBytes()}.gain()
+	c.Check(gain, qt.Equals, int64(bodySize))
+	first.account.Done()
+	c.Check(b.used.Load(), qt.Equals, int64(ConnectionBytes+kept))
+	var others []*conn
+	for range 20 {
+		other := open(b)
+		others = append(others, other)
+		other.account.Keep(kept)
+	}
+	c.Check(others[0].account.kept.Load(), qt.Equals, int64(kept))
+	c.Check(others[len(others)-1].account.kept.Load(), qt.Equals, int64(0))
+	for _, open := range append(others, first) {
+		open.account.Close()
+	}
+	c.Check(b.used.Load(), qt.Equals, int64(0))
+}
--- a/internal/membudget/victims.go
+++ b/internal/membudget/victims.go
@@ -8,10 +8,12 @@
 
 // holding is what one account holds at the time of a decision.
 type holding struct {
-	account  *Account
-	phase    Phase
-	held     int64
-	progress int64
+	account *Account
+	phase   Phase
+	held    int64
+	// connection is the part of held that is given back only when the connection ends.
+	connection int64
+	progress   int64
 	// rank is the result of memoryRank, once it is needed.
 	rank int
 }
@@ -25,7 +27,7 @@
 // request stays open until the refusal has reached the caller.
 func (h holding) gain() int64 {
 	if h.phase == Body || h.phase == Refused {
-		return h.held - ConnectionBytes
+		return h.held - h.connection
 	}
 	return h.held
 }
@@ -37,7 +39,7 @@
 	case Closed:
 		return h.held
 	case Refused:
-		return h.held - ConnectionBytes
+		return h.held - h.connection
 	}
 	return 0
 }
@@ -51,7 +53,7 @@
 	switch {
 	case h.phase == Idle:
 		return 2
-	case h.held <= ConnectionBytes+SmallRequestBytes && h.progress > recent:
+	case h.held <= h.connection+SmallRequestBytes && h.progress > recent:
 		return 1
 	}
 	return 0
