Bound the connections to leaves by the descriptors

What callers saw: requests that are gathered from 20 services, sent by 450 callers at once, used up the node's descriptors (600 and 1,200 open of 400 and 1,000 allowed), so that it could not accept connections or reach leaves.

Cause: the connections to each leaf were bounded, but not those to all leaves together.

Now the pools of all leaves share one bound of three eighths of the descriptors for connections (1,463 of 4,100). The default is far above what the deployments' requests need at once.

--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -22,7 +22,8 @@
 
 // Pool holds the connections to one server. It is safe for concurrent use.
 type Pool struct {
-	dial DialFunc
+	dial  DialFunc
+	total *Total
 
 	mu    sync.Mutex
 	limit int
@@ -39,9 +40,11 @@
 }
 
 // New returns a pool without connections. It opens at most limit connections and reuses those that were idle for at most
-// keep.
-func New(dial DialFunc, limit int, keep time.Duration) *Pool {
-	return &Pool{dial: dial, limit: max(1, limit), keep: keep, changed: make(chan struct{})}
+// keep. total bounds the connections of several pools together, and may be nil.
+func New(dial DialFunc, limit int, keep time.Duration, total *Total) *Pool {
+	p := &Pool{dial: dial, total: total, limit: max(1, limit), keep: keep, changed: make(chan struct{})}
+	total.add(p)
+	return p
 }
 
 // Conn is a connection for one exchange. Either Release or Close must be called after the exchange.
@@ -66,6 +69,8 @@
 type pendingDial struct {
 	// wanted is set while the call waits for the connection. The connection becomes idle otherwise.
 	wanted bool
+	// cancel ends the wait until another connection may be opened.
+	cancel context.CancelFunc
 	done   chan struct{}
 	// conn and err are the result once done is closed.
 	conn *Conn
@@ -88,8 +93,7 @@
 			return c, nil
 		}
 		if d == nil && p.open < p.limit {
-			d = &pendingDial{wanted: true, done: make(chan struct{})}
-			p.startDial(d)
+			d = p.startDial(true)
 		}
 		if err := p.wait(ctx, d); err != nil {
 			p.abandon(d)
@@ -135,6 +139,7 @@
 		return
 	}
 	d.wanted = false
+	d.cancel()
 	if isClosed(d.done) && d.conn != nil {
 		p.add(d.conn)
 	}
@@ -163,12 +168,13 @@
 }
 
 // startDial opens a connection in the background.
-func (p *Pool) startDial(d *pendingDial) {
+func (p *Pool) startDial(wanted bool) *pendingDial {
+	wait, cancel := context.WithCancel(context.Background())
+	d := &pendingDial{wanted: wanted, cancel: cancel, done: make(chan struct{})}
 	p.open++
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 		defer cancel()
-		conn, err := p.dial(ctx)
+		conn, err := p.dialWithin(wait)
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		defer close(d.done)
@@ -185,6 +191,21 @@
 			p.add(c)
 		}
 	}()
+	return d
+}
+
+// dialWithin waits until another connection may be opened, until wait ends, and opens one.
+func (p *Pool) dialWithin(wait context.Context) (net.Conn, error) {
+	if err := p.total.acquire(wait); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	conn, err := p.dial(ctx)
+	if err != nil {
+		p.total.release()
+	}
+	return conn, err
 }
 
 // Prepare opens a connection in the background, unless one is open. It reports whether it opens one.
@@ -192,11 +213,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sweep(time.Now())
-	if p.open > 0 || p.closed {
+	if p.open > 0 || p.closed || p.total.isShort() {
 		return false
 	}
 	// If the server cannot be reached, the next call of Get reports the error.
-	p.startDial(&pendingDial{done: make(chan struct{})})
+	p.startDial(false)
 	return true
 }
 
@@ -266,6 +287,7 @@
 
 // Close closes the connections that no exchange uses, and the others at the end of their exchanges.
 func (p *Pool) Close() {
+	p.total.remove(p)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
@@ -296,13 +318,15 @@
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
 	c.pool.open--
+	c.pool.total.release()
 	c.pool.notify()
 	return err
 }
 
-// add adds an idle connection, or closes it if the pool is closed or above its limit.
+// add adds an idle connection, or closes it if the pool is closed or above its limit, or if dials wait, which are served
+// in order.
 func (p *Pool) add(c *Conn) {
-	if p.closed || p.open > p.limit {
+	if p.closed || p.open > p.limit || p.total.isShort() {
 		p.discard(c)
 	} else {
 		p.idle = append(p.idle, c)
@@ -315,6 +339,7 @@
 	// No exchange uses the connection, so an error has no effect.
 	_ = c.Conn.Close()
 	p.open--
+	p.total.release()
 }
 
 func (p *Pool) notify() {
--- a/internal/connpool/connpool_test.go
+++ b/internal/connpool/connpool_test.go
@@ -55,7 +55,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		s := &server{}
-		p := New(s.dial, limit, keep)
+		p := New(s.dial, limit, keep, nil)
 		check(qt.New(t), s, p)
 		p.Close()
 		time.Sleep(2 * dialTime) // dials end
@@ -251,7 +251,7 @@
 			dial := func(ctx context.Context) (net.Conn, error) {
 				return (&net.Dialer{}).DialContext(ctx, "tcp", l.Addr().String())
 			}
-			p := New(dial, 2, keep)
+			p := New(dial, 2, keep, nil)
 			defer p.Close()
 			p.Prepare()
 			makeUnusable(<-accepted)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -118,8 +118,8 @@
 	return store, store
 }
 
-func newSender(scope tally.Scope) (*platform.LeafClient, exchange.Sender) {
-	client := platform.NewLeafClient(scope)
+func newSender(s Settings, scope tally.Scope) (*platform.LeafClient, exchange.Sender) {
+	client := platform.NewLeafClient(scope, s.leafConnections())
 	return client, client
 }
 
--- a/internal/entry/memory.go
+++ b/internal/entry/memory.go
@@ -16,10 +16,12 @@
 	// defaultRequestShare is the part of the memory that requests in flight may take. Garbage is collected more often above
 	// 0.6 of the memory, which also holds the view of the registry.
 	defaultRequestShare = 0.25
-	// fileDescriptors are kept for files. Of the others, callerShare is for the connections of callers; the rest is for those
-	// to leaves, to other nodes and to the store.
+	// fileDescriptors are kept for files. Of the others, callerShare is for the connections of callers. Of what remains,
+	// otherShare, at least minOther, is for those of other nodes and to the store, and the rest for those to leaves.
 	fileDescriptors = 200
 	callerShare     = 0.5
+	otherShare      = 0.25
+	minOther        = 64
 	// otherServersShare is the part of the budget for connections to the servers for readiness, directory and metrics, which
 	// answer also while the requests of callers that run hold all the rest.
 	otherServersShare = 1. / 32
@@ -53,12 +55,23 @@
 
 // callerConnections returns the number of connections that callers may hold.
 func (s Settings) callerConnections() int {
+	return max(1, int(callerShare*float64(s.socketDescriptors())))
+}
+
+// leafConnections returns the number of connections to leaves that may be open.
+func (s Settings) leafConnections() int {
+	rest := s.socketDescriptors() - s.callerConnections()
+	return max(1, rest-max(minOther, int(otherShare*float64(rest))))
+}
+
+// socketDescriptors returns the number of descriptors that the process may open for connections.
+func (s Settings) socketDescriptors() int {
 	descriptors := s.MaxDescriptors
 	var limit syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err == nil && (descriptors == 0 || limit.Cur < uint64(descriptors)) {
 		descriptors = int(min(limit.Cur, math.MaxInt32))
 	}
-	return max(1, int(callerShare*float64(descriptors-fileDescriptors)))
+	return descriptors - fileDescriptors
 }
 
 // acceptBacklog returns the number of connections that wait to be accepted at one listener.
